--- /dev/null
+++ b/src/connection/http_server.hpp
@@ -0,0 +1,54 @@
+/// HTTP/1.1 service through Pistache, with every request handed over to an
+/// io_context.
+#pragma once
+
+#include "connection/http_exchange.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace basilpath
+{
+
+/// How an HTTP server listens.
+struct http_server_options
+{
+    /// `ip:port`; port 0 lets the system choose.
+    std::string address;
+    int threads = 2;
+    std::size_t request_limit_bytes = 256U << 10U;
+};
+
+/// Listens until it is destroyed. Requests arrive on the io_context's thread.
+class http_server
+{
+public:
+    using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    /// Starts to listen; throws `std::runtime_error` when the address cannot
+    /// be had.
+    http_server(boost::asio::io_context& context,
+                const http_server_options& options, handler serve);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// The port that is listened on.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// Requests handed over and not yet answered.
+    [[nodiscard]] std::size_t in_flight() const;
+
+    /// From now on every answer asks the caller to close the connection.
+    void close_connections();
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> self;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,208 @@
+#include "process/settings.hpp"
+
+#include "version/ini_reader.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace
+{
+
+// Returns the bytes of a file, or nothing when it cannot be read.
+std::optional<std::string> read_file(const std::string& name)
+{
+    std::ifstream file(name, std::ios::binary);
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+// Converts the whole of a text to a number.
+template <class Number>
+std::optional<Number> to_number(std::string_view text)
+{
+    Number parsed{};
+    const char* const end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, parsed);
+    if (result.ec != std::errc{} || result.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+// Stores a number when it is in range.
+template <class Number>
+std::function<bool(const std::string&)>
+store_in_range(Number least, Number most, Number* target)
+{
+    return [=](const std::string& text)
+    {
+        const auto parsed = to_number<Number>(text);
+        if (!parsed || *parsed < least || *parsed > most)
+        {
+            return false;
+        }
+        *target = *parsed;
+        return true;
+    };
+}
+
+} // namespace
+
+void settings_reader::text(std::string name, std::string* target)
+{
+    this->add(std::move(name), "any text",
+              [target](const std::string& value)
+              {
+                  *target = value;
+                  return !value.empty();
+              });
+}
+
+void settings_reader::integer(std::string name, std::int64_t least,
+                              std::int64_t most, std::int64_t* target)
+{
+    this->add(std::move(name),
+              fmt::format("a whole number from {} to {}", least, most),
+              store_in_range(least, most, target));
+}
+
+void settings_reader::number(std::string name, double least, double most,
+                             double* target)
+{
+    this->add(std::move(name),
+              fmt::format("a number from {} to {}", least, most),
+              store_in_range(least, most, target));
+}
+
+void settings_reader::address(std::string name, std::string* target,
+                              bool any_port)
+{
+    this->add(std::move(name), "IP:PORT with a numeric IP",
+              [target, any_port](const std::string& value)
+              {
+                  *target = value;
+                  return is_address(value, any_port);
+              });
+}
+
+void settings_reader::choice(std::string name, std::vector<std::string> words,
+                             std::string* target)
+{
+    std::string accepts = fmt::format("one of {}", fmt::join(words, ", "));
+    this->add(std::move(name), std::move(accepts),
+              [target, words = std::move(words)](const std::string& value)
+              {
+                  *target = value;
+                  return std::ranges::find(words, value) != words.end();
+              });
+}
+
+void settings_reader::require(std::string name)
+{
+    this->required.push_back(std::move(name));
+}
+
+std::vector<std::string> settings_reader::read(const std::string& file)
+{
+    const auto bytes = read_file(file);
+    if (!bytes)
+    {
+        return {fmt::format("{}: cannot be read", file)};
+    }
+    const ini_text text = read_ini(*bytes);
+    std::vector<std::string> faults;
+    faults.reserve(text.faults.size());
+    for (const ini_fault& fault : text.faults)
+    {
+        faults.push_back(
+            fmt::format("{}:{}: {}", file, fault.line, fault.message));
+    }
+    std::vector<std::string> seen;
+    for (const ini_line& line : text.lines)
+    {
+        if (auto fault = this->apply(file, line))
+        {
+            faults.push_back(std::move(*fault));
+        }
+        seen.push_back(line.section + "." + line.key);
+    }
+    std::ranges::move(this->missing(file, seen), std::back_inserter(faults));
+    return faults;
+}
+
+void settings_reader::add(std::string name, std::string accepts,
+                          std::function<bool(const std::string&)> store)
+{
+    this->keys.push_back(
+        {std::move(name), std::move(accepts), std::move(store)});
+}
+
+std::optional<std::string> settings_reader::apply(const std::string& file,
+                                                  const ini_line& line)
+{
+    const std::string name = line.section + "." + line.key;
+    const auto known = std::ranges::find(this->keys, name, &known_key::name);
+    if (known == this->keys.end())
+    {
+        return fmt::format(
+            "{}:{}: unknown key {}; known keys are {}", file, line.line, name,
+            fmt::join(std::views::transform(this->keys, &known_key::name),
+                      ", "));
+    }
+    if (!known->store(line.value))
+    {
+        return fmt::format("{}:{}: {}={} is not accepted; it takes {}", file,
+                           line.line, name, line.value, known->accepts);
+    }
+    return std::nullopt;
+}
+
+std::vector<std::string>
+settings_reader::missing(const std::string& file,
+                         const std::vector<std::string>& seen) const
+{
+    std::vector<std::string> faults;
+    for (const std::string& name : this->required)
+    {
+        if (std::ranges::find(seen, name) == seen.end())
+        {
+            faults.push_back(fmt::format("{}: {} is missing", file, name));
+        }
+    }
+    return faults;
+}
+
+bool is_address(std::string_view text, bool any_port)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return false;
+    }
+    std::string_view ip = text.substr(0, colon);
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+    {
+        ip = ip.substr(1, ip.size() - 2);
+    }
+    boost::system::error_code failed;
+    boost::asio::ip::make_address(std::string(ip), failed);
+    const auto port = to_number<std::uint16_t>(text.substr(colon + 1));
+    return !failed && port && (any_port || *port > 0);
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
