--- a/src/process/system_state.hpp
+++ b/src/process/system_state.hpp
@@ -29,6 +29,9 @@
     /// Hosts that the membership protocol holds for dead.
     std::set<host_id> dead_hosts;
 
+    /// Hosts that are leaving according to any source.
+    std::set<host_id> leaving_hosts;
+
     /// Leaves that are leaving according to any source.
     std::set<leaf_id> leaving_leaves;
 
