--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -1,13 +1,12 @@
 #include "process/settings.hpp"
 
 #include "version/ini_reader.hpp"
+#include "version/number.hpp"
 
-#include <boost/asio/ip/address.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <ranges>
@@ -30,20 +29,6 @@
     return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
-// Converts the whole of a text to a number.
-template <class Number>
-std::optional<Number> to_number(std::string_view text)
-{
-    Number parsed{};
-    const char* const end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, parsed);
-    if (result.ec != std::errc{} || result.ptr != end)
-    {
-        return std::nullopt;
-    }
-    return parsed;
-}
-
 // Stores a number when it is in range.
 template <class Number>
 std::function<bool(const std::string&)>
@@ -51,8 +36,8 @@
 {
     return [=](const std::string& text)
     {
-        const auto parsed = to_number<Number>(text);
-        if (!parsed || *parsed < least || *parsed > most)
+        const auto parsed = to_number<Number>(text, least, most);
+        if (!parsed)
         {
             return false;
         }
@@ -187,22 +172,4 @@
     return faults;
 }
 
-bool is_address(std::string_view text, bool any_port)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-    {
-        return false;
-    }
-    std::string_view ip = text.substr(0, colon);
-    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
-    {
-        ip = ip.substr(1, ip.size() - 2);
-    }
-    boost::system::error_code failed;
-    boost::asio::ip::make_address(std::string(ip), failed);
-    const auto port = to_number<std::uint16_t>(text.substr(colon + 1));
-    return !failed && port && (any_port || *port > 0);
-}
-
 } // namespace basilpath
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -1,6 +1,8 @@
 /// Settings of one process: an INI file whose every key is checked.
 #pragma once
 
+#include "version/ip_address.hpp"
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -63,8 +65,4 @@
     std::vector<std::string> required;
 };
 
-/// Tells whether a text is `IP:PORT` with a numeric IPv4 or bracketed IPv6
-/// address and a port of 1 to 65535 (0 too where `any_port`).
-[[nodiscard]] bool is_address(std::string_view text, bool any_port = false);
-
 } // namespace basilpath
--- a/src/version/ini_reader.cpp
+++ b/src/version/ini_reader.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+constexpr const char* malformed_line =
+    "the line is not a section, a key = value pair or a comment";
+
 /// Feeds the parser line by line and collects what it finds.
 struct line_feed
 {
@@ -41,6 +44,17 @@
     return line.substr(start);
 }
 
+// Tells whether a line is empty, a comment, a section or a pair.
+bool is_well_formed(std::string_view line)
+{
+    if (line.empty() || line.front() == ';' || line.front() == '#')
+    {
+        return true;
+    }
+    return line.find_first_of(line.front() == '[' ? "]" : "=:") !=
+           std::string_view::npos;
+}
+
 // Says what keeps a line from being read; empty when nothing does.
 std::string fault_of(std::string_view line)
 {
@@ -59,7 +73,17 @@
         return fmt::format("the section name is longer than {} characters",
                            ini_section_limit);
     }
-    return "";
+    return is_well_formed(line) ? "" : malformed_line;
+}
+
+// Notes a section, which the parser tells only with the section's first line.
+void note_header(line_feed& feed, std::string_view line)
+{
+    if (line.starts_with('['))
+    {
+        feed.result.headers.push_back(
+            {feed.line, std::string(line.substr(1, line.find(']') - 1))});
+    }
 }
 
 // Gives the parser one line; a faulty line is noted and given as empty.
@@ -82,6 +106,7 @@
         feed.result.faults.push_back({feed.line, std::move(fault)});
         line = {};
     }
+    note_header(feed, line);
     std::memcpy(buffer, line.data(), line.size());
     buffer[line.size()] = '\n';
     buffer[line.size() + 1] = '\0';
@@ -106,9 +131,7 @@
     const int status = ini_parse_stream(feed_line, &feed, take_line, &feed);
     if (status > 0)
     {
-        feed.result.faults.push_back(
-            {status, "the line is not a section, a key = value pair or a "
-                     "comment"});
+        feed.result.faults.push_back({status, malformed_line});
     }
     std::ranges::stable_sort(feed.result.faults, {}, &ini_fault::line);
     return std::move(feed.result);
--- a/src/version/ini_reader.hpp
+++ b/src/version/ini_reader.hpp
@@ -24,9 +24,17 @@
     std::string message;
 };
 
+/// Where a section starts, whether or not it has lines.
+struct ini_header
+{
+    int line = 0;
+    std::string name;
+};
+
 /// What was read of a text.
 struct ini_text
 {
+    std::vector<ini_header> headers;
     std::vector<ini_line> lines;
     std::vector<ini_fault> faults;
 };
--- a/src/version/leaf.hpp
+++ b/src/version/leaf.hpp
@@ -8,8 +8,9 @@
 namespace basilpath
 {
 
-/// One `[leaf NAME]` section of a document. Where the leaf listens and whether
-/// it is leaving is published apart from the document, see `target_list`.
+/// One line of a `[leaves GROUP]` section of a document. Where the leaf listens
+/// and whether it is leaving is published apart from the document, see
+/// `target_list`.
 struct leaf
 {
     leaf_id id;
--- a/src/version/shard.hpp
+++ b/src/version/shard.hpp
@@ -8,7 +8,7 @@
 namespace basilpath
 {
 
-/// One `[shard SERVICE/VERSION/NUMBER]` section of a document.
+/// One line of a `[shards SERVICE/VERSION]` section of a document.
 struct shard
 {
     shard_number number;
