--- a/src/connection/peer_hub.cpp
+++ b/src/connection/peer_hub.cpp
@@ -1,5 +1,6 @@
 #include "connection/peer_hub.hpp"
 
+#include "connection/delay_estimate.hpp"
 #include "connection/peer_link.hpp"
 #include "process/log.hpp"
 
@@ -100,8 +101,11 @@
         }
         const peer_address from(batch.from());
         this->link(from).heard();
+        const microseconds delay =
+            this->delays[from].observe(microseconds(batch.sent_us()));
         for (wire::Envelope& one : *batch.mutable_envelopes())
         {
+            one.set_delay_us(static_cast<std::uint64_t>(delay.count()));
             this->handle(from, incarnation(batch.incarnation()),
                          std::move(one));
         }
@@ -145,6 +149,7 @@
     nng_aio* aio = nullptr;
     peer_traffic counters;
     std::unordered_map<peer_address, std::shared_ptr<peer_link>> links;
+    std::unordered_map<peer_address, delay_estimate> delays;
 };
 
 peer_hub::peer_hub(boost::asio::io_context& context,
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -217,6 +217,9 @@
     batch.set_from(this->own_address.value);
     batch.set_incarnation(this->own.value);
     const auto now = std::chrono::steady_clock::now();
+    batch.set_sent_us(
+        std::chrono::duration_cast<microseconds>(now.time_since_epoch())
+            .count());
     while (!this->queue.empty() &&
            batch.envelopes_size() < static_cast<int>(batch_limit_messages))
     {
--- /dev/null
+++ b/src/process/entry_context.hpp
@@ -0,0 +1,68 @@
+/// What all sessions of one entry process share.
+#pragma once
+
+#include "connection/peer_hub.hpp"
+#include "process/proven_queries.hpp"
+#include "process/reply_router.hpp"
+#include "process/runtime.hpp"
+#include "process/system_state.hpp"
+#include "request/request_trace.hpp"
+#include "version/routing_table.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace basilpath
+{
+
+/// Events that sessions count.
+struct entry_counters
+{
+    std::uint64_t shards_asked = 0;
+    std::uint64_t shards_merged = 0;
+    std::uint64_t failovers = 0;
+    std::uint64_t version_restarts = 0;
+    std::uint64_t canaries = 0;
+    std::uint64_t duplicate_results = 0;
+    std::uint64_t wrong_version_results = 0;
+    std::uint64_t malformed_results = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t homes_lost = 0;
+};
+
+/// Owned by the process; sessions hold it by shared ownership. Used on the
+/// runtime's thread only.
+template <runtime Runtime, peer_transport Transport>
+struct entry_context
+{
+    Runtime& clockwork;
+    Transport& transport;
+    host_id own_host;
+    incarnation own_incarnation;
+
+    /// Returns the state in force, never null.
+    std::function<std::shared_ptr<const system_state>()> state;
+
+    reply_router<Runtime> router;
+    routing_table routing;
+    proven_queries proven{proven_query_limit};
+    trace_ring traces{trace_limit};
+    entry_counters counters;
+    std::uint64_t next_request = 0;
+
+    /// Returns a name for a request that no other request has.
+    request_id new_request_id()
+    {
+        return request_id(fmt::format("{}-{:x}-{}", this->own_host.value,
+                                      this->own_incarnation.value,
+                                      ++this->next_request));
+    }
+
+    static constexpr std::size_t proven_query_limit = 100'000;
+    static constexpr std::size_t trace_limit = 2'000;
+};
+
+} // namespace basilpath
