Relay: runs an entry's shards at their leaves, thin

Cause: entries need a process that owns the slots of leaves, so that what is outstanding is known exactly.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -330,6 +330,7 @@
     boost::asio::io_context& context;
     boost::asio::steady_timer timer;
     CURLM* multi;
+    std::uint32_t connection_limit = 0;
     curl_slist* headers = nullptr;
     std::vector<CURL*> idle;
     std::unordered_map<CURL*, std::shared_ptr<transfer>> transfers;
@@ -345,6 +346,15 @@
 
 http_client::~http_client() = default;
 
+void http_client::limit_connections(std::uint32_t most)
+{
+    if (std::exchange(this->self->connection_limit, most) != most)
+    {
+        curl_multi_setopt(this->self->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          static_cast<long>(most));
+    }
+}
+
 boost::asio::awaitable<http_reply> http_client::send(http_request request)
 {
     auto initiate = [self = this->self, &request](auto handler)
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -61,6 +61,10 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
+    /// Limits the connections to any one address; zero for no limit. At the
+    /// limit an idle connection makes way for a new one, or a request waits.
+    void limit_connections(std::uint32_t most);
+
     /// Runs one request to its end. Never throws for a network failure.
     boost::asio::awaitable<http_reply> send(http_request request);
 
--- /dev/null
+++ b/src/request/leaf_execute_session.ipp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "process/system_state.hpp"
+#include "version/index_version.hpp"
+
+#include <algorithm>
+
+namespace basilpath
+{
+
+template <runtime Runtime, leaf_transport Transport>
+leaf_execute_session<Runtime, Transport>::leaf_execute_session(
+    context_type& context, wire::LeafExecute request, reply_function reply)
+    : context(context), request(std::move(request)), reply(std::move(reply)),
+      deadline(context.now() + microseconds(this->request.budget_us()))
+{
+    this->result.set_request(this->request.request());
+    this->result.set_version(this->request.version());
+}
+
+template <runtime Runtime, leaf_transport Transport>
+boost::asio::awaitable<void> leaf_execute_session<Runtime, Transport>::run()
+{
+    const auto self = this->shared_from_this();
+    ++this->context.counts.executes;
+    const auto refused = this->find_shard();
+    const result_code code = refused ? *refused : co_await this->execute();
+    this->result.set_code(static_cast<std::uint32_t>(code));
+    wire::Envelope message;
+    *message.mutable_leaf_execute_result() = this->result;
+    this->reply(std::move(message));
+}
+
+// Finds the replicas; says why the request is refused when there are none.
+template <runtime Runtime, leaf_transport Transport>
+std::optional<result_code>
+leaf_execute_session<Runtime, Transport>::find_shard()
+{
+    const auto& state = this->context.state;
+    if (!state || !state->configuration)
+    {
+        return result_code::no_configuration;
+    }
+    const service* found = state->configuration->find_service(
+        service_name(this->request.service()));
+    if (found == nullptr)
+    {
+        return result_code::unknown_service;
+    }
+    if (!found->accepts_execute)
+    {
+        return result_code::not_executable;
+    }
+    const auto match = std::ranges::find(
+        found->versions, version_number(this->request.version()),
+        [](const auto& one) { return one->number; });
+    if (match == found->versions.end() ||
+        this->request.shard() >= (*match)->shards.size())
+    {
+        return result_code::unknown_version;
+    }
+    this->version = *match;
+    this->replicas = this->context.leaves.replicas(
+        this->version->shards[this->request.shard()]);
+    return std::nullopt;
+}
+
+// Gets a slot and sends, to one replica after the other while it is certain
+// that none has run the request.
+template <runtime Runtime, leaf_transport Transport>
+boost::asio::awaitable<result_code>
+leaf_execute_session<Runtime, Transport>::execute()
+{
+    result_code code = result_code::no_replica;
+    for (auto open = this->candidates(); !open.empty();
+         open = this->candidates())
+    {
+        const auto waiter = std::make_shared<slot_waiter<Runtime>>(
+            this->context.owner, this->deadline, open);
+        auto slot = co_await this->context.slots->acquire(waiter);
+        if (!slot || this->context.now() >= this->deadline)
+        {
+            co_return result_code::expired_before_send;
+        }
+        this->tried.push_back(slot->leaf()->id);
+        const leaf_verdict verdict = co_await this->attempt(std::move(*slot));
+        code = leaf_execute_code(verdict);
+        if (!certainly_not_run(verdict))
+        {
+            co_return code;
+        }
+    }
+    co_return code;
+}
+
+// Sends once, on a new connection, with what is left of the budget.
+template <runtime Runtime, leaf_transport Transport>
+boost::asio::awaitable<leaf_verdict>
+leaf_execute_session<Runtime, Transport>::attempt(slot_lease<Runtime> slot)
+{
+    const leaf_call call{
+        request_id(this->request.request()),
+        attempt_number(static_cast<std::uint32_t>(this->tried.size())),
+        service_name(this->request.service()),
+        version_number(this->request.version()),
+        shard_number(this->request.shard()),
+        this->deadline - this->context.now(),
+        true,
+        this->request.query()};
+    http_request sent;
+    sent.url = "/v1/leaf";
+    sent.body = leaf_call_body(call);
+    sent.timeout = call.budget;
+    sent.fresh_connection = true;
+    const http_reply answer =
+        co_await this->context.transport.send(*slot.leaf(), std::move(sent));
+    leaf_answer judged = judge_reply(call, answer);
+    if (judged.verdict == leaf_verdict::draining)
+    {
+        slot.leaf()->leaving = true;
+        this->context.report_leaving(slot.leaf()->id);
+    }
+    if (judged.verdict == leaf_verdict::served)
+    {
+        this->result.set_leaf(slot.leaf()->id.value);
+        this->result.set_items(std::move(judged.items));
+    }
+    co_return judged.verdict;
+}
+
+// The replicas that were not tried and are not leaving.
+template <runtime Runtime, leaf_transport Transport>
+std::vector<std::shared_ptr<leaf_state>>
+leaf_execute_session<Runtime, Transport>::candidates() const
+{
+    std::vector<std::shared_ptr<leaf_state>> open;
+    std::ranges::copy_if(this->replicas, std::back_inserter(open),
+                         [this](const auto& leaf)
+                         {
+                             return !leaf->leaving &&
+                                    std::ranges::find(this->tried, leaf->id) ==
+                                        this->tried.end();
+                         });
+    return open;
+}
+
+} // namespace basilpath
