--- a/src/process/latency_histogram.cpp
+++ b/src/process/latency_histogram.cpp
@@ -18,17 +18,17 @@
 
 constexpr double least_us = 10.0;
 constexpr double most_us = 60e6;
-constexpr int bin_count = 320;
+constexpr int bin_count = latency_histogram::bin_count;
 constexpr int bins_per_bucket = 16;
 
 using log_axis =
     boost::histogram::axis::regular<double,
                                     boost::histogram::axis::transform::log>;
 
-using bins = decltype(boost::histogram::make_histogram_with(
+using bin_counts = decltype(boost::histogram::make_histogram_with(
     std::vector<std::uint64_t>(), log_axis(bin_count, least_us, most_us)));
 
-bins make_bins()
+bin_counts make_bins()
 {
     return boost::histogram::make_histogram_with(
         std::vector<std::uint64_t>(), log_axis(bin_count, least_us, most_us));
@@ -38,7 +38,7 @@
 
 struct latency_histogram::implementation
 {
-    bins counts = make_bins();
+    bin_counts counts = make_bins();
     std::uint64_t total = 0;
     microseconds sum{0};
 };
@@ -122,6 +122,39 @@
     return this->self->sum;
 }
 
+std::vector<latency_bin> latency_histogram::bins() const
+{
+    std::vector<latency_bin> result;
+    for (int bin = -1; bin <= bin_count; ++bin)
+    {
+        if (const std::uint64_t count = this->self->counts.at(bin); count > 0)
+        {
+            result.push_back({bin, count});
+        }
+    }
+    return result;
+}
+
+bool latency_histogram::add_bins(const std::vector<latency_bin>& bins,
+                                 microseconds sum)
+{
+    const auto on_scale = [](const latency_bin& bin)
+    {
+        return bin.index >= -1 && bin.index <= bin_count;
+    };
+    if (!std::ranges::all_of(bins, on_scale))
+    {
+        return false;
+    }
+    for (const latency_bin& bin : bins)
+    {
+        this->self->counts.at(bin.index) += bin.count;
+        this->self->total += bin.count;
+    }
+    this->self->sum += sum;
+    return true;
+}
+
 std::vector<latency_bucket> latency_histogram::buckets() const
 {
     std::vector<latency_bucket> result;
--- a/src/process/latency_histogram.hpp
+++ b/src/process/latency_histogram.hpp
@@ -18,6 +18,15 @@
     std::uint64_t count = 0;
 };
 
+/// One bin with its count, for sending a histogram to another process.
+struct latency_bin
+{
+    /// From -1 (below the scale) to `latency_histogram::bin_count` (above).
+    int index = 0;
+
+    std::uint64_t count = 0;
+};
+
 /// Counts latencies from 10 us to 60 s in steps of 5%; what is shorter or
 /// longer is counted at the ends. Used on one thread.
 class latency_histogram
@@ -49,6 +58,17 @@
     /// Sum of the latencies counted.
     [[nodiscard]] std::chrono::microseconds sum() const;
 
+    /// The bins that hold something, ascending.
+    [[nodiscard]] std::vector<latency_bin> bins() const;
+
+    /// Adds the bins of another histogram, e.g. of another process, whose sum
+    /// is given too. False, with nothing added, when a bin is off the scale.
+    [[nodiscard]] bool add_bins(const std::vector<latency_bin>& bins,
+                                std::chrono::microseconds sum);
+
+    /// Number of bins on the scale.
+    static constexpr int bin_count = 320;
+
     /// Cumulative counts at a few edges, ascending.
     [[nodiscard]] std::vector<latency_bucket> buckets() const;
 
