Load tool: open-loop arrivals, directory, figures

Cause: the policies are to be compared under load, and a closed loop hides the queueing that callers feel. Change: basilpath-load draws Poisson arrivals from a seed, sends each at its time however many are unanswered, counts latency from the scheduled time, and prints served, partial, refused and failed requests by class.

--- /dev/null
+++ b/bench/load/load_run.cpp
@@ -0,0 +1,69 @@
+#include "load/load_run.hpp"
+
+#include "load/control_channel.hpp"
+#include "load/load_plan.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <thread>
+
+namespace basilpath::load
+{
+
+namespace
+{
+
+// Time for all threads to come to the start together.
+constexpr milliseconds start_delay{50};
+
+// Deals the arrivals out to the workers in turn.
+std::vector<std::vector<arrival>> deal(std::vector<arrival> all,
+                                       std::size_t workers)
+{
+    std::vector<std::vector<arrival>> shares(workers);
+    for (arrival& one : all)
+    {
+        shares[one.number % workers].push_back(std::move(one));
+    }
+    return shares;
+}
+
+} // namespace
+
+run_record run_load(const load_plan& plan, const caller_options& options,
+                    std::size_t threads, const std::string& control)
+{
+    std::vector<std::unique_ptr<load_worker>> workers;
+    for (auto& share : deal(make_arrivals(plan), threads))
+    {
+        const std::uint64_t seed = plan.seed + workers.size() * options.callers;
+        workers.push_back(std::make_unique<load_worker>(
+            plan, options, std::move(share), seed));
+    }
+    std::ranges::for_each(workers,
+                          [](const auto& worker) { worker->prepare(); });
+    const auto start = std::chrono::steady_clock::now() + start_delay;
+    std::vector<std::jthread> running;
+    running.reserve(workers.size() + 1);
+    for (const auto& worker : workers)
+    {
+        running.emplace_back([&worker, start] { worker->run(start); });
+    }
+    if (!control.empty())
+    {
+        running.emplace_back(
+            [&plan, &control, start]
+            { control_channel(control).run_actions(plan.actions, start); });
+    }
+    running.clear();
+    run_record record;
+    for (const auto& worker : workers)
+    {
+        std::ranges::copy(worker->outcomes(),
+                          std::back_inserter(record.outcomes));
+        record.unsent += worker->unsent();
+    }
+    return record;
+}
+
+} // namespace basilpath::load
--- /dev/null
+++ b/bench/load/load_worker.hpp
@@ -0,0 +1,93 @@
+/// One thread of a run: callers that send their share of the arrivals.
+#pragma once
+
+#include "connection/http_client.hpp"
+#include "load/caller_directory.hpp"
+#include "load/request_outcome.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace basilpath::load
+{
+
+struct load_plan;
+struct traffic_mix;
+
+/// What the callers of a run know before it begins.
+struct caller_options
+{
+    /// Entry hosts that are asked for the directory.
+    std::vector<std::string> hosts;
+
+    /// Callers of each worker; each keeps a directory of its own.
+    std::size_t callers = 4;
+
+    /// Most requests in progress at one worker; arrivals beyond are not sent
+    /// and the run does not count.
+    std::size_t in_progress_limit = 20'000;
+};
+
+/// Sends every arrival at its time, however many are unanswered. Runs on the
+/// thread that calls `run`.
+class load_worker
+{
+public:
+    load_worker(const load_plan& plan, const caller_options& options,
+                std::vector<arrival> arrivals, std::uint64_t seed);
+
+    /// Asks for the directories, so that the run begins with them.
+    void prepare();
+
+    /// Sends all arrivals, times counted from `start`, and returns when every
+    /// request has ended.
+    void run(std::chrono::steady_clock::time_point start);
+
+    /// The requests of the run, in no order.
+    [[nodiscard]] const std::vector<std::shared_ptr<request_outcome>>&
+    outcomes() const;
+
+    /// Arrivals that were not sent because too many were in progress.
+    [[nodiscard]] std::size_t unsent() const;
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    /// A request with the caller that makes it.
+    struct request_state
+    {
+        std::shared_ptr<request_outcome> outcome;
+        std::shared_ptr<caller_directory> directory;
+        std::string token;
+        std::string first_host;
+    };
+
+    boost::asio::awaitable<void> send_all();
+    boost::asio::awaitable<void>
+    send_once(std::shared_ptr<request_state> request, microseconds at);
+    boost::asio::awaitable<caller_answer> ask(const request_state& request,
+                                              const std::string& host,
+                                              const std::string& name,
+                                              milliseconds deadline);
+    void start(const arrival& one);
+    [[nodiscard]] microseconds elapsed() const;
+    [[nodiscard]] const traffic_mix& mix_of(const request_state& request) const;
+
+    const load_plan& plan;
+    caller_options options;
+    std::vector<arrival> arrivals;
+    boost::asio::io_context context{1};
+    http_client client;
+    std::vector<std::shared_ptr<caller_directory>> directories;
+    std::vector<std::shared_ptr<request_outcome>> finished;
+    time_point start_time;
+    std::size_t in_progress = 0;
+    std::size_t not_sent = 0;
+};
+
+} // namespace basilpath::load
--- /dev/null
+++ b/bench/load/main.cpp
@@ -0,0 +1,164 @@
+/// basilpath-load: open-loop load on the entry hosts, with figures and checks.
+#include "load/control_channel.hpp"
+#include "load/entry_protocol.hpp"
+#include "load/load_plan.hpp"
+#include "load/load_run.hpp"
+#include "load/run_summary.hpp"
+#include "process/log.hpp"
+#include "process/settings.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <ranges>
+#include <sstream>
+
+DEFINE_string(hosts, "", "entry hosts, ip:port,ip:port,...");
+DEFINE_string(plan, "", "plan file (INI); without one the flags below count");
+DEFINE_string(service, "catalogue", "service of the one mix");
+DEFINE_string(request_class, "browse", "class of the one mix");
+DEFINE_double(rate, 100.0, "mean arrivals a second of the one mix");
+DEFINE_uint32(deadline_ms, 170, "deadline of the one mix");
+DEFINE_bool(execute, false, "whether the one mix is non-idempotent");
+DEFINE_uint32(duration_ms, 5000, "length of the run");
+DEFINE_uint32(warm_up_ms, 500, "time at the start that is left out");
+DEFINE_uint64(seed, 0, "seed; 0 keeps that of the plan");
+DEFINE_double(rate_factor, 1.0, "multiplies all rates");
+DEFINE_uint32(threads, 1, "event-loop threads");
+DEFINE_uint32(callers, 4, "callers of each thread, each with a directory");
+DEFINE_string(control, "", "ip:port of the stand-in's control interface");
+DEFINE_string(results, "", "file that gets the figures as JSON");
+DEFINE_bool(show, false, "send one request, print the answer and stop");
+
+namespace
+{
+
+using namespace basilpath;
+using namespace basilpath::load;
+
+constexpr int exit_good = 0;
+constexpr int exit_usage = 2;
+
+// Returns the bytes of a file, empty when it cannot be read.
+std::string read_file(const std::string& name)
+{
+    std::ifstream file(name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::vector<std::string> split(const std::string& list)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(list);
+    for (std::string part; std::getline(stream, part, ',');)
+    {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+// Makes the plan that the flags describe.
+load_plan plan_of_flags()
+{
+    load_plan plan;
+    plan.duration = milliseconds(FLAGS_duration_ms);
+    plan.warm_up = milliseconds(FLAGS_warm_up_ms);
+    traffic_mix mix;
+    mix.name = FLAGS_request_class;
+    mix.service = service_name(FLAGS_service);
+    mix.request_class = class_name(FLAGS_request_class);
+    mix.rate = FLAGS_rate;
+    mix.deadline = milliseconds(FLAGS_deadline_ms);
+    mix.execute = FLAGS_execute;
+    plan.mixes.push_back(std::move(mix));
+    return plan;
+}
+
+// Returns the plan of the file or of the flags; nothing when it is faulty.
+std::optional<load_plan> choose_plan()
+{
+    std::string reason;
+    auto plan = FLAGS_plan.empty()
+                    ? std::optional(plan_of_flags())
+                    : parse_load_plan(read_file(FLAGS_plan), &reason);
+    if (!plan || plan->mixes.empty())
+    {
+        log_event(log_level::error, "plan_refused",
+                  {{"file", FLAGS_plan}, {"reason", reason}});
+        return std::nullopt;
+    }
+    plan->seed = FLAGS_seed == 0 ? plan->seed : FLAGS_seed;
+    for (traffic_mix& mix : plan->mixes)
+    {
+        mix.rate *= FLAGS_rate_factor;
+    }
+    return plan;
+}
+
+// Sends one request of the first mix and prints the answer.
+int show(const load_plan& plan, const std::string& host)
+{
+    const traffic_mix& mix = plan.mixes.front();
+    control_channel channel(host);
+    const auto directory =
+        read_directory(channel.send("GET", "/v1/directory").body);
+    const bool has_token = directory && !directory->tokens.empty();
+    const http_request request = make_entry_request(
+        host, mix,
+        {"show-1", "show", has_token ? directory->tokens.front() : "",
+         mix.deadline});
+    const http_reply reply = channel.send(
+        "POST", mix.execute ? "/v1/execute" : "/v1/query", request.body);
+    const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    fmt::print("status={}\n{}\n", reply.status,
+               json.is_discarded() ? reply.body : json.dump(2));
+    return exit_good;
+}
+
+// Runs the plan and prints its figures.
+int run(const load_plan& plan, const std::vector<std::string>& hosts)
+{
+    const run_record record =
+        run_load(plan, {hosts, FLAGS_callers}, FLAGS_threads, FLAGS_control);
+    const run_summary summary = summarize(plan, record.outcomes);
+    fmt::print("{}", to_table(summary));
+    if (!FLAGS_results.empty())
+    {
+        nlohmann::json results = to_json(summary);
+        results["seed"] = plan.seed;
+        results["unsent"] = record.unsent;
+        std::ofstream(FLAGS_results) << results.dump(1) << '\n';
+    }
+    return exit_good;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("open-loop load on the entry hosts");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    set_log_program("basilpath-load");
+    const std::vector<std::string> hosts = split(FLAGS_hosts);
+    const auto good = [](const std::string& host)
+    {
+        return is_address(host);
+    };
+    if (hosts.empty() || !std::ranges::all_of(hosts, good))
+    {
+        log_event(log_level::error, "hosts_refused",
+                  {{"hosts", FLAGS_hosts}, {"accepts", "IP:PORT,IP:PORT"}});
+        return exit_usage;
+    }
+    const auto plan = choose_plan();
+    if (!plan)
+    {
+        return exit_usage;
+    }
+    return FLAGS_show ? show(*plan, hosts.front()) : run(*plan, hosts);
+}
