--- a/src/process/entry_server.cpp
+++ b/src/process/entry_server.cpp
@@ -157,7 +157,8 @@
         if (token && token->home == this->shared->own_host)
         {
             answer = co_await this->own_home->execute(
-                std::move(request), *token, real_runtime::clock::now());
+                request_id(asked.request()), std::move(request), *token,
+                real_runtime::clock::now());
         }
         wire::Envelope reply;
         wire::HomeExecuteResult& result = *reply.mutable_home_execute_result();
--- a/src/process/home.hpp
+++ b/src/process/home.hpp
@@ -43,9 +43,11 @@
     std::string issue_token();
 
     /// Runs a request to execute, or answers what became of it. The token must
-    /// name this host.
-    boost::asio::awaitable<query_answer>
-    execute(caller_request request, home_token token, time_point arrived);
+    /// name this host. `id` is our name for the request.
+    boost::asio::awaitable<query_answer> execute(request_id id,
+                                                 caller_request request,
+                                                 home_token token,
+                                                 time_point arrived);
 
     [[nodiscard]] const home_counters& counters() const;
 
@@ -55,20 +57,23 @@
 private:
     using box = typename reply_router<Runtime>::box;
 
-    boost::asio::awaitable<query_answer> run_started(caller_request request,
-                                                     time_point deadline);
-    boost::asio::awaitable<query_answer> join(caller_request request,
-                                              time_point deadline);
+    boost::asio::awaitable<query_answer>
+    run_started(request_id id, caller_request request, time_point deadline);
+    boost::asio::awaitable<query_answer>
+    join(request_id id, caller_request request, time_point deadline);
     boost::asio::awaitable<void> await_late(std::shared_ptr<box> replies,
                                             caller_request request,
                                             request_id id);
-    bool send(const caller_request& request, const request_id& id,
-              time_point deadline, query_answer& answer);
+    std::optional<peer_address> send(const caller_request& request,
+                                     const request_id& id, time_point deadline,
+                                     query_answer& answer);
     void settle(const caller_request& request, const query_answer& answer);
-    query_answer repeat(const caller_request& request) const;
+    query_answer repeat(const request_id& id,
+                        const caller_request& request) const;
     query_answer answer_of(const caller_request& request, const request_id& id,
                            const wire::LeafExecuteResult& result) const;
-    query_answer plain(const caller_request& request, result_code code) const;
+    query_answer plain(const request_id& id, const caller_request& request,
+                       result_code code) const;
     [[nodiscard]] microseconds now() const;
 
     std::shared_ptr<context> shared;
--- a/src/process/home.ipp
+++ b/src/process/home.ipp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "process/home.hpp"
-#include "process/log.hpp"
+#include "request/await_reply.hpp"
 #include "version/index_version.hpp"
 #include "version/service.hpp"
 #include "version/version_choice.hpp"
@@ -51,8 +51,8 @@
 
 template <runtime Runtime, peer_transport Transport>
 boost::asio::awaitable<query_answer>
-home<Runtime, Transport>::execute(caller_request request, home_token token,
-                                  time_point arrived)
+home<Runtime, Transport>::execute(request_id id, caller_request request,
+                                  home_token token, time_point arrived)
 {
     const auto self = this->shared_from_this();
     const time_point deadline =
@@ -62,20 +62,20 @@
     if (token.issuer != this->shared->own_incarnation)
     {
         ++this->shared->counters.homes_lost;
-        co_return this->plain(request, result_code::outcome_unknown);
+        co_return this->plain(id, request, result_code::outcome_unknown);
     }
 
     // Step 2. A token that this incarnation never issued.
     if (!this->issuer.issued(token))
     {
-        co_return this->plain(request, result_code::token_forged);
+        co_return this->plain(id, request, result_code::token_forged);
     }
 
     // Step 3. A token so old that its keys may have been forgotten.
     const auto keep_until = token.good_until + home_limits::outcome_time;
     if (this->now() >= keep_until)
     {
-        co_return this->plain(request, result_code::outcome_unknown);
+        co_return this->plain(id, request, result_code::outcome_unknown);
     }
 
     // Step 4. Start the key, or answer what is known of it.
@@ -84,41 +84,45 @@
     {
     case key_state::started:
         ++this->counts.started;
-        co_return co_await this->run_started(std::move(request), deadline);
+        co_return co_await this->run_started(std::move(id), std::move(request),
+                                             deadline);
     case key_state::in_progress:
         ++this->counts.repeats;
-        co_return co_await this->join(std::move(request), deadline);
+        co_return co_await this->join(std::move(id), std::move(request),
+                                      deadline);
     case key_state::finished:
         ++this->counts.repeats;
-        co_return this->repeat(request);
+        co_return this->repeat(id, request);
     case key_state::other_body:
-        co_return this->plain(request, result_code::key_reused);
+        co_return this->plain(id, request, result_code::key_reused);
     case key_state::full:
         ++this->counts.refused;
-        co_return this->plain(request, result_code::outcome_table_full);
+        co_return this->plain(id, request, result_code::outcome_table_full);
     case key_state::expired:
         ++this->counts.refused;
-        co_return this->plain(request, result_code::token_expired);
+        co_return this->plain(id, request, result_code::token_expired);
     }
-    co_return this->plain(request, result_code::outcome_unknown);
+    co_return this->plain(id, request, result_code::outcome_unknown);
 }
 
 // Runs a key that is in the table as in progress, and notes its outcome.
 template <runtime Runtime, peer_transport Transport>
 boost::asio::awaitable<query_answer>
-home<Runtime, Transport>::run_started(caller_request request,
+home<Runtime, Transport>::run_started(request_id id, caller_request request,
                                       time_point deadline)
 {
-    const request_id id = this->shared->new_request_id();
     const auto replies = this->shared->router.open(id, this->shared->clockwork);
-    query_answer answer = this->plain(request, result_code::outcome_unknown);
-    if (!this->send(request, id, deadline, answer))
+    query_answer answer =
+        this->plain(id, request, result_code::outcome_unknown);
+    const auto owner = this->send(request, id, deadline, answer);
+    if (!owner)
     {
         this->shared->router.close(id);
         this->settle(request, answer);
         co_return answer;
     }
-    const auto reply = co_await replies->pop_until(deadline);
+    const auto reply = co_await await_reply<Runtime>(
+        replies, this->shared->transport, *owner, deadline);
     if (!reply)
     {
         ++this->counts.unknown;
@@ -137,13 +141,14 @@
 // Waits until another request with the same key has finished.
 template <runtime Runtime, peer_transport Transport>
 boost::asio::awaitable<query_answer>
-home<Runtime, Transport>::join(caller_request request, time_point deadline)
+home<Runtime, Transport>::join(request_id id, caller_request request,
+                               time_point deadline)
 {
     const auto self = this->shared_from_this();
     const auto finished = std::make_shared<box>(this->shared->clockwork);
     this->outcomes.wait(request.key, [finished] { finished->wake(); });
     co_await finished->pop_until(deadline);
-    co_return this->repeat(request);
+    co_return this->repeat(id, request);
 }
 
 // Waits for an outcome that comes after the deadline, for later repeats.
@@ -165,12 +170,14 @@
     }
 }
 
-// Sends the request to the first responsive owner of its shard. False when it
-// is certain that nothing was sent; `answer` then says why.
+// Sends the request to the first responsive owner of its shard and returns
+// who that is. Nothing when it is certain that nothing was sent; `answer` then
+// says why.
 template <runtime Runtime, peer_transport Transport>
-bool home<Runtime, Transport>::send(const caller_request& request,
-                                    const request_id& id, time_point deadline,
-                                    query_answer& answer)
+std::optional<peer_address>
+home<Runtime, Transport>::send(const caller_request& request,
+                               const request_id& id, time_point deadline,
+                               query_answer& answer)
 {
     const auto state = this->shared->state();
     const service* const wanted =
@@ -181,8 +188,8 @@
         wanted != nullptr ? choose_version(*wanted, *state) : nullptr;
     if (!pinned)
     {
-        answer = this->plain(request, result_code::no_configuration);
-        return false;
+        answer = this->plain(id, request, result_code::no_configuration);
+        return std::nullopt;
     }
     const auto place =
         rendezvous_hash(request.lookup_key, "") % pinned->shards.size();
@@ -190,8 +197,8 @@
         deadline - Runtime::clock::now());
     if (budget <= microseconds::zero())
     {
-        answer = this->plain(request, result_code::expired_before_send);
-        return false;
+        answer = this->plain(id, request, result_code::expired_before_send);
+        return std::nullopt;
     }
     wire::Envelope message;
     wire::LeafExecute& execute = *message.mutable_leaf_execute();
@@ -209,10 +216,10 @@
         { return this->shared->transport.send(one->relay, message); });
     if (sent == owners.end())
     {
-        answer = this->plain(request, result_code::no_replica);
-        return false;
+        answer = this->plain(id, request, result_code::no_replica);
+        return std::nullopt;
     }
-    return true;
+    return (*sent)->relay;
 }
 
 // Notes an outcome; a request that is certain not to have run is forgotten, so
@@ -232,15 +239,17 @@
 // Answers with the outcome that is stored, if any is.
 template <runtime Runtime, peer_transport Transport>
 query_answer
-home<Runtime, Transport>::repeat(const caller_request& request) const
+home<Runtime, Transport>::repeat(const request_id& id,
+                                 const caller_request& request) const
 {
     const query_answer* const stored = this->outcomes.outcome(request.key);
     if (stored == nullptr)
     {
-        return this->plain(request, result_code::outcome_unknown);
+        return this->plain(id, request, result_code::outcome_unknown);
     }
     query_answer answer = *stored;
     answer.caller_id = request.caller_id;
+    answer.id = id;
     if (answer.code == result_code::complete)
     {
         answer.code = result_code::repeated;
@@ -256,9 +265,8 @@
                                     const wire::LeafExecuteResult& result) const
 {
     query_answer answer = this->plain(
-        request,
+        id, request,
         to_result_code(result.code()).value_or(result_code::outcome_unknown));
-    answer.id = id;
     answer.version = version_number(result.version());
     answer.shard_count = 1;
     if (answer.code == result_code::complete)
@@ -272,11 +280,13 @@
 
 // Makes an answer without items.
 template <runtime Runtime, peer_transport Transport>
-query_answer home<Runtime, Transport>::plain(const caller_request& request,
+query_answer home<Runtime, Transport>::plain(const request_id& id,
+                                             const caller_request& request,
                                              result_code code) const
 {
     query_answer answer;
     answer.caller_id = request.caller_id;
+    answer.id = id;
     answer.code = code;
     answer.reason = info(code).meaning;
     return answer;
--- a/src/request/execute_session.hpp
+++ b/src/request/execute_session.hpp
@@ -37,6 +37,7 @@
     std::shared_ptr<home_type> own_home;
     caller_request request;
     time_point arrived;
+    request_id own_id;
 };
 
 } // namespace basilpath
--- a/src/request/execute_session.ipp
+++ b/src/request/execute_session.ipp
@@ -15,7 +15,8 @@
     std::shared_ptr<context> shared, std::shared_ptr<home_type> own_home,
     caller_request request, time_point arrived)
     : shared(std::move(shared)), own_home(std::move(own_home)),
-      request(std::move(request)), arrived(arrived)
+      request(std::move(request)), arrived(arrived),
+      own_id(this->shared->new_request_id())
 {
 }
 
@@ -30,8 +31,8 @@
     }
     if (token->home == this->shared->own_host)
     {
-        co_return co_await this->own_home->execute(this->request, *token,
-                                                   this->arrived);
+        co_return co_await this->own_home->execute(this->own_id, this->request,
+                                                   *token, this->arrived);
     }
     const auto state = this->shared->state();
     const auto known = [&token](const host& one)
@@ -60,7 +61,7 @@
         this->arrived + this->request.budget - home_limits::answer_margin;
     const auto budget = std::chrono::duration_cast<microseconds>(
         deadline - Runtime::clock::now());
-    const request_id id = this->shared->new_request_id();
+    const request_id& id = this->own_id;
     const auto replies = this->shared->router.open(id, this->shared->clockwork);
     wire::Envelope message;
     wire::HomeExecute& execute = *message.mutable_home_execute();
@@ -75,8 +76,12 @@
     execute.set_lookup_key(this->request.lookup_key);
     const bool sent =
         this->shared->transport.send(to.entry, std::move(message));
-    const auto reply =
-        sent ? co_await replies->pop_until(deadline) : std::nullopt;
+    std::optional<peer_message> reply;
+    if (sent)
+    {
+        reply = co_await await_reply<Runtime>(replies, this->shared->transport,
+                                              to.entry, deadline);
+    }
     this->shared->router.close(id);
     if (!reply)
     {
@@ -87,7 +92,6 @@
         reply->message.home_execute_result();
     query_answer answer = this->plain(
         to_result_code(result.code()).value_or(result_code::outcome_unknown));
-    answer.id = id;
     answer.reason = result.reason();
     answer.version = version_number(result.version());
     const bool served = answer.code == result_code::complete ||
@@ -104,6 +108,7 @@
 {
     query_answer answer;
     answer.caller_id = this->request.caller_id;
+    answer.id = this->own_id;
     answer.code = code;
     answer.reason = info(code).meaning;
     return answer;
