Links find peers again that were away for long

Cause: a link to an unresponsive peer stopped asking for a sign of life ten seconds after the last message that could be queued, and nothing could be queued while the peer was unresponsive: two sides of a partition that lasted longer never spoke again. Links were also kept for ever. Change: a message that cannot be sent counts as use of the link; heartbeat, silence and idle times are options of a hub, with the same defaults; links unused for a minute are closed when another is made. Conclusion: healing does not depend on the length of a partition.

--- a/src/connection/peer_hub.cpp
+++ b/src/connection/peer_hub.cpp
@@ -28,8 +28,9 @@
     : std::enable_shared_from_this<peer_hub::implementation>
 {
     implementation(boost::asio::io_context& context, incarnation own,
-                   handler receive)
-        : context(context), own(own), receive(std::move(receive))
+                   handler receive, peer_hub_options options)
+        : context(context), own(own), receive(std::move(receive)),
+          options(options)
     {
     }
 
@@ -131,19 +132,40 @@
     // Returns the link to a peer and makes it on first use.
     peer_link& link(const peer_address& to)
     {
-        auto& slot = this->links[to];
-        if (!slot)
+        const auto found = this->links.find(to);
+        if (found != this->links.end())
         {
-            slot = std::make_shared<peer_link>(this->context, to, this->address,
-                                               this->own, this->counters);
-            slot->start();
+            return *found->second;
         }
-        return *slot;
+        this->close_unused();
+        const auto created = std::make_shared<peer_link>(
+            this->context, to, this->address, this->own, this->counters,
+            this->options);
+        this->links.emplace(to, created);
+        created->start();
+        return *created;
+    }
+
+    // Closes the links that have not been used for long, so that their number
+    // does not grow with all peers that were ever spoken to.
+    void close_unused()
+    {
+        std::erase_if(this->links,
+                      [](const auto& entry)
+                      {
+                          const bool close = entry.second->closable();
+                          if (close)
+                          {
+                              entry.second->stop();
+                          }
+                          return close;
+                      });
     }
 
     boost::asio::io_context& context;
     incarnation own;
     handler receive;
+    peer_hub_options options;
     peer_address address;
     nng_socket pull = NNG_SOCKET_INITIALIZER;
     nng_aio* aio = nullptr;
@@ -154,8 +176,9 @@
 
 peer_hub::peer_hub(boost::asio::io_context& context,
                    const peer_address& address, incarnation own,
-                   handler receive)
-    : self(std::make_shared<implementation>(context, own, std::move(receive)))
+                   handler receive, peer_hub_options options)
+    : self(std::make_shared<implementation>(context, own, std::move(receive),
+                                            options))
 {
     this->self->listen(address);
 }
@@ -192,6 +215,11 @@
     return this->self->counters;
 }
 
+std::size_t peer_hub::links() const
+{
+    return this->self->links.size();
+}
+
 std::size_t peer_hub::queued() const
 {
     std::size_t total = 0;
--- a/src/connection/peer_hub.hpp
+++ b/src/connection/peer_hub.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,6 +38,23 @@
     std::uint64_t dropped = 0;
 };
 
+/// How a hub looks after its links.
+struct peer_hub_options
+{
+    /// A used link that has heard nothing for so long asks for a sign of life.
+    std::chrono::milliseconds heartbeat_interval{100};
+
+    /// A peer that has not answered for so long is unresponsive; after twice
+    /// that its link is made anew.
+    std::chrono::milliseconds silence_limit{400};
+
+    /// A link that nothing was sent on for so long is unused.
+    std::chrono::milliseconds idle_limit{10'000};
+
+    /// An unused link is closed after so long.
+    std::chrono::milliseconds close_limit{60'000};
+};
+
 /// Hears messages at one address and keeps one task and one link for each
 /// peer that it sends to. Messages to one peer that wait together travel
 /// together. A peer that is written to and not heard from is unresponsive, and
@@ -50,7 +68,7 @@
     /// Listens at `address`; port 0 lets the system choose. Throws
     /// `std::runtime_error` when the address cannot be had.
     peer_hub(boost::asio::io_context& context, const peer_address& address,
-             incarnation own, handler receive);
+             incarnation own, handler receive, peer_hub_options options = {});
     ~peer_hub();
     peer_hub(const peer_hub&) = delete;
     peer_hub& operator=(const peer_hub&) = delete;
@@ -67,6 +85,9 @@
 
     [[nodiscard]] const peer_traffic& traffic() const;
 
+    /// Links to peers that are open.
+    [[nodiscard]] std::size_t links() const;
+
     /// Messages queued and not yet handed to the network.
     [[nodiscard]] std::size_t queued() const;
 
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -24,9 +24,6 @@
 constexpr std::size_t queue_limit_messages = 20'000;
 constexpr std::size_t batch_limit_messages = 256;
 constexpr std::chrono::milliseconds queued_time_limit = 400ms;
-constexpr std::chrono::milliseconds heartbeat_interval = 100ms;
-constexpr std::chrono::milliseconds silence_limit = 400ms;
-constexpr std::chrono::seconds idle_limit = 10s;
 constexpr std::chrono::milliseconds pause_limit = 300ms;
 constexpr nng_duration redial_least_ms = 20;
 constexpr nng_duration redial_most_ms = 300;
@@ -36,9 +33,9 @@
 
 peer_link::peer_link(boost::asio::io_context& context, peer_address to,
                      peer_address own_address, incarnation own,
-                     peer_traffic& counters)
+                     peer_traffic& counters, const peer_hub_options& options)
     : context(context), to(std::move(to)), own_address(std::move(own_address)),
-      own(own), counters(counters), timer(context)
+      own(own), counters(counters), options(options), timer(context)
 {
     nng_aio_alloc(
         &this->aio,
@@ -80,17 +77,19 @@
 
 bool peer_link::send(wire::Envelope message)
 {
+    const auto now = std::chrono::steady_clock::now();
+    if (!message.has_heartbeat())
+    {
+        // Also when nothing can be sent: as long as the peer is wanted, the
+        // link keeps asking whether it is back.
+        this->used_at = now;
+    }
     if (this->stopped || !this->responsive() ||
         this->queue.size() >= queue_limit_messages)
     {
         ++this->counters.dropped;
         return false;
     }
-    const auto now = std::chrono::steady_clock::now();
-    if (!message.has_heartbeat())
-    {
-        this->used_at = now;
-    }
     this->queue.push_back({std::move(message), now});
     this->timer.cancel();
     return true;
@@ -105,7 +104,8 @@
 bool peer_link::responsive() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return !this->awaiting_answer || now - this->asked_at < silence_limit;
+    return !this->awaiting_answer ||
+           now - this->asked_at < this->options.silence_limit;
 }
 
 std::size_t peer_link::queued() const
@@ -113,6 +113,13 @@
     return this->queue.size();
 }
 
+bool peer_link::closable() const
+{
+    return this->queue.empty() &&
+           std::chrono::steady_clock::now() - this->used_at >
+               this->options.close_limit;
+}
+
 // Empties the queue, batch by batch, until the link is stopped.
 boost::asio::awaitable<void> peer_link::run()
 {
@@ -147,11 +154,11 @@
     if (this->queue.empty())
     {
         const auto slept_at = std::chrono::steady_clock::now();
-        this->timer.expires_after(heartbeat_interval);
+        this->timer.expires_after(this->options.heartbeat_interval);
         co_await this->timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
         const auto now = std::chrono::steady_clock::now();
-        if (now - slept_at > heartbeat_interval + pause_limit)
+        if (now - slept_at > this->options.heartbeat_interval + pause_limit)
         {
             // This process was paused: the silence was its own.
             this->asked_at = now;
@@ -165,11 +172,12 @@
 void peer_link::check_silence()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (this->stopped || now - this->used_at > idle_limit)
+    if (this->stopped || now - this->used_at > this->options.idle_limit)
     {
         return;
     }
-    if (!this->awaiting_answer && now - this->heard_at >= heartbeat_interval)
+    if (!this->awaiting_answer &&
+        now - this->heard_at >= this->options.heartbeat_interval)
     {
         this->awaiting_answer = true;
         this->asked_at = now;
@@ -177,13 +185,14 @@
         question.mutable_heartbeat();
         this->queue.push_back({std::move(question), now});
     }
-    else if (this->awaiting_answer && now - this->asked_at > 2 * silence_limit)
+    else if (this->awaiting_answer &&
+             now - this->asked_at > 2 * this->options.silence_limit)
     {
         log_event(log_level::warning, "peer_silent",
                   {{"peer", this->to.value}});
         this->hang_up();
         this->dial();
-        this->asked_at = now - silence_limit;
+        this->asked_at = now - this->options.silence_limit;
         wire::Envelope question;
         question.mutable_heartbeat();
         this->queue.push_back({std::move(question), now});
--- a/src/connection/peer_link.hpp
+++ b/src/connection/peer_link.hpp
@@ -20,8 +20,8 @@
 {
 public:
     peer_link(boost::asio::io_context& context, peer_address to,
-              peer_address own_address, incarnation own,
-              peer_traffic& counters);
+              peer_address own_address, incarnation own, peer_traffic& counters,
+              const peer_hub_options& options);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -44,6 +44,9 @@
 
     [[nodiscard]] std::size_t queued() const;
 
+    /// Tells whether the link has been unused for so long that it is not kept.
+    [[nodiscard]] bool closable() const;
+
 private:
     using time_point = std::chrono::steady_clock::time_point;
 
@@ -67,6 +70,7 @@
     peer_address own_address;
     incarnation own;
     peer_traffic& counters;
+    peer_hub_options options;
     boost::asio::steady_timer timer;
     std::deque<queued_message> queue;
     nng_socket socket = NNG_SOCKET_INITIALIZER;
