Agents spread what is in force between hosts

Change: agents talk to their successors and predecessors on six hashed rings (overlay), tell news at once and digests each second (neighbour_session), fetch values by sections named by content (value_sections, value_fetch), hold what is in force by number (value_store), find dead hosts with suspicion, indirect probes and counters that only the member raises (membership), spread quarantines and leaving marks that end by themselves (soft_state). Two hosts of a failure domain watch the platform (platform_watch) within a budget of calls. A started agent tells its processes nothing before it has asked its peers.

--- a/src/process/agent_main.cpp
+++ b/src/process/agent_main.cpp
@@ -3,22 +3,19 @@
 #include "connection/http_client.hpp"
 #include "connection/peer_hub.hpp"
 #include "connection/platform_client.hpp"
-#include "process/local_feed.hpp"
+#include "process/agent.hpp"
 #include "process/log.hpp"
 #include "process/settings.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
-#include <map>
 #include <random>
+#include <ranges>
+#include <sstream>
 
 DEFINE_string(settings, "", "settings file (INI)");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -29,8 +26,9 @@
 using namespace basilpath;
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds watch_time = 10s;
-constexpr std::chrono::milliseconds retry_interval = 500ms;
+// Neighbours ask each other for signs of life themselves, so that the links
+// need few heartbeats.
+constexpr peer_hub_options link_options{3000ms, 6000ms, 10'000ms, 30'000ms};
 
 /// Settings of the agent.
 struct agent_settings
@@ -41,6 +39,8 @@
     std::string listen = "127.0.0.1:0";
     std::string platform;
     std::string level = "info";
+    std::string seeds;
+    std::int64_t start_spread_ms = 200;
 };
 
 // Reads the settings file; false after every fault has been logged.
@@ -52,6 +52,9 @@
     reader.text("host.domain", &settings.domain);
     reader.address("peer.listen", &settings.listen, true);
     reader.address("platform.address", &settings.platform);
+    reader.text("peer.seeds", &settings.seeds);
+    reader.integer("platform.start_spread_ms", 0, 60'000,
+                   &settings.start_spread_ms);
     reader.choice("log.level", {"debug", "info", "warning", "error"},
                   &settings.level);
     for (const char* name : {"host.id", "host.region", "host.domain",
@@ -67,109 +70,75 @@
     return faults.empty();
 }
 
-/// Watches the platform's values and feeds the processes of the host.
-class agent
+// Splits a list of addresses at blanks.
+std::vector<peer_address> split_addresses(const std::string& text)
 {
-public:
-    agent(boost::asio::io_context& context, const agent_settings& settings)
-        : context(context), http(context), platform(http, settings.platform),
-          hub(context, peer_address(settings.listen),
-              incarnation(std::random_device{}()),
-              [this](const peer_address& from, incarnation,
-                     const wire::Envelope& message)
-              { this->receive(from, message); })
-    {
-    }
-
-    void start()
-    {
-        log_event(log_level::info, "started",
-                  {{"peer", this->hub.address().value}});
-        for (const char* name : {"document", "targets", "hosts"})
-        {
-            boost::asio::co_spawn(this->context, this->watch(name),
-                                  boost::asio::detached);
-        }
-    }
+    std::istringstream words(text);
+    std::vector<peer_address> addresses;
+    std::ranges::copy_if(
+        std::views::istream<std::string>(words) |
+            std::views::transform([](const std::string& word)
+                                  { return peer_address(word); }),
+        std::back_inserter(addresses),
+        [](const peer_address& one) { return is_address(one.value); });
+    return addresses;
+}
 
-private:
-    // Watches one value for as long as the process lives.
-    boost::asio::awaitable<void> watch(std::string name)
-    {
-        boost::asio::steady_timer timer(this->context);
-        std::optional<std::uint64_t> revision;
-        while (true)
-        {
-            platform_reply reply =
-                co_await this->platform.read(name, revision, watch_time);
-            if (reply.content)
-            {
-                revision = reply.content->revision;
-                this->values[name] = std::move(reply.content->bytes);
-                this->publish();
-            }
-            else if (!reply.unchanged)
-            {
-                log_event(log_level::warning, "platform_failed",
-                          {{"value", name}, {"reason", reply.reason}});
-                timer.expires_after(retry_interval);
-                co_await timer.async_wait(
-                    boost::asio::as_tuple(boost::asio::use_awaitable));
-            }
-        }
-    }
+// Two draws of the system's random numbers.
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
 
-    // Sends the processes of the host what has changed.
-    void publish()
+/// The agent with what it runs on.
+class agent_process
+{
+public:
+    agent_process(boost::asio::io_context& context,
+                  const agent_settings& settings)
+        : runtime(context, random_number()), http(context),
+          platform(http, settings.platform), start(random_number()),
+          hub(
+              context, peer_address(settings.listen), this->start,
+              [this](const peer_address& from, incarnation sender,
+                     wire::Envelope message)
+              { this->logic->receive(from, sender, std::move(message)); },
+              link_options)
     {
-        wire::State state;
-        state.set_document(this->values["document"]);
-        state.set_targets(this->values["targets"]);
-        state.set_hosts(this->values["hosts"]);
-        for (const auto& [name, bytes] : this->values)
-        {
-            wire::ValueDigest& one = *state.add_values();
-            one.set_name(name);
-            one.set_digest(content_digest(bytes));
-        }
-        this->feed.set_state(std::move(state));
-        for (feed_message& one : this->feed.changes(this->now()))
-        {
-            this->send(one.to, std::move(one.state));
-        }
+        agent_options options;
+        options.id = host_id(settings.host);
+        options.start = this->start;
+        options.seeds = split_addresses(settings.seeds);
+        options.start_spread =
+            std::chrono::milliseconds(settings.start_spread_ms);
+        this->logic = std::make_shared<agent_type>(
+            this->runtime, this->hub, this->platform, options,
+            [](log_level level, std::string_view event,
+               std::initializer_list<log_field> fields)
+            { log_event(level, event, fields); });
+        this->logic->start();
+        log_event(log_level::info, "started",
+                  {{"peer", this->hub.address().value},
+                   {"incarnation", this->start.value}});
     }
 
-    void receive(const peer_address& from, const wire::Envelope& message)
+    ~agent_process()
     {
-        if (message.has_subscribe())
-        {
-            auto answer =
-                this->feed.subscribe(from, message.subscribe(), this->now());
-            if (answer)
-            {
-                this->send(from, std::move(*answer));
-            }
-        }
+        this->logic->stop();
     }
 
-    void send(const peer_address& to, wire::State state)
-    {
-        wire::Envelope envelope;
-        *envelope.mutable_state() = std::move(state);
-        this->hub.send(to, std::move(envelope));
-    }
+    agent_process(const agent_process&) = delete;
+    agent_process& operator=(const agent_process&) = delete;
 
-    [[nodiscard]] static local_feed::time_point now()
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::steady_clock::now().time_since_epoch());
-    }
+private:
+    using agent_type = agent<real_runtime, peer_hub, platform_client>;
 
-    boost::asio::io_context& context;
+    real_runtime runtime;
     http_client http;
     platform_client platform;
-    local_feed feed;
-    std::map<std::string, std::string> values;
+    incarnation start;
+    std::shared_ptr<agent_type> logic;
     peer_hub hub;
 };
 
@@ -186,7 +155,7 @@
     {
         return EXIT_FAILURE;
     }
-    set_log_level(*to_log_level(settings.level));
+    set_log_level(to_log_level(settings.level).value_or(log_level::info));
     if (FLAGS_check)
     {
         return EXIT_SUCCESS;
@@ -194,8 +163,7 @@
     try
     {
         boost::asio::io_context context(1);
-        agent process(context, settings);
-        process.start();
+        const agent_process process(context, settings);
         boost::asio::signal_set signals(context, SIGTERM, SIGINT);
         signals.async_wait([&context](auto, int) { context.stop(); });
         context.run();
--- a/src/process/local_feed.cpp
+++ b/src/process/local_feed.cpp
@@ -1,6 +1,6 @@
 #include "process/local_feed.hpp"
 
-#include <xxhash.h>
+#include "version/value_sections.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -29,11 +29,6 @@
 
 } // namespace
 
-std::uint64_t content_digest(std::string_view bytes)
-{
-    return XXH3_64bits(bytes.data(), bytes.size());
-}
-
 void local_feed::set_state(wire::State state)
 {
     state.set_digest(state_digest(state));
--- a/src/process/local_feed.hpp
+++ b/src/process/local_feed.hpp
@@ -59,7 +59,4 @@
     std::map<peer_address, subscriber> known;
 };
 
-/// Digest of a value's bytes (64-bit XXH3).
-[[nodiscard]] std::uint64_t content_digest(std::string_view bytes);
-
 } // namespace basilpath
--- a/src/process/state_subscription.cpp
+++ b/src/process/state_subscription.cpp
@@ -1,9 +1,9 @@
 #include "process/state_subscription.hpp"
 
 #include "connection/peer_hub.hpp"
-#include "process/local_feed.hpp"
 #include "process/log.hpp"
 #include "version/document_parser.hpp"
+#include "version/value_sections.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/test/local_feed_test.cpp
+++ b/test/local_feed_test.cpp
@@ -1,4 +1,5 @@
 #include "process/local_feed.hpp"
+#include "version/value_sections.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -26,6 +27,14 @@
 
 const peer_address process("127.0.0.1:1");
 
+// Subscribes and returns the answer, which there has to be.
+wire::State renew(local_feed& feed, const wire::Subscribe& message)
+{
+    const auto answer = feed.subscribe(process, message, 0ms);
+    REQUIRE(answer);
+    return answer.value_or(wire::State());
+}
+
 TEST_CASE("a feed without a state says nothing")
 {
     local_feed feed;
@@ -37,10 +46,9 @@
 {
     local_feed feed;
     feed.set_state(make_state("d1", "h1"));
-    const auto first = feed.subscribe(process, wire::Subscribe(), 0ms);
-    REQUIRE(first);
-    CHECK(first->document() == "d1");
-    CHECK(first->hosts() == "h1");
+    const wire::State first = renew(feed, wire::Subscribe());
+    CHECK(first.document() == "d1");
+    CHECK(first.hosts() == "h1");
 
     feed.set_state(make_state("d1", "h2"));
     const auto changes = feed.changes(0ms);
@@ -55,8 +63,8 @@
 {
     local_feed feed;
     feed.set_state(make_state("d1", "h1"));
-    CHECK(feed.subscribe(process, wire::Subscribe(), 0ms)->document() == "d1");
-    CHECK(feed.subscribe(process, wire::Subscribe(), 0ms)->document() == "d1");
+    CHECK(renew(feed, wire::Subscribe()).document() == "d1");
+    CHECK(renew(feed, wire::Subscribe()).document() == "d1");
 }
 
 TEST_CASE("a process that is up to date gets the digest alone")
@@ -64,13 +72,11 @@
     local_feed feed;
     feed.set_state(make_state("d1", "h1"));
     wire::Subscribe renewal;
-    renewal.set_digest(
-        feed.subscribe(process, wire::Subscribe(), 0ms)->digest());
-    const auto answer = feed.subscribe(process, renewal, 1s);
-    REQUIRE(answer);
-    CHECK(answer->digest() == renewal.digest());
-    CHECK(answer->values().empty());
-    CHECK(answer->document().empty());
+    renewal.set_digest(renew(feed, wire::Subscribe()).digest());
+    const wire::State answer = renew(feed, renewal);
+    CHECK(answer.digest() == renewal.digest());
+    CHECK(answer.values().empty());
+    CHECK(answer.document().empty());
 }
 
 TEST_CASE("a process that has gone is forgotten")
