--- /dev/null
+++ b/src/process/admission_gate.hpp
@@ -0,0 +1,185 @@
+/// The gate before one service: admits requests by worth, up to a limit.
+#pragma once
+
+#include "process/admission_limit.hpp"
+#include "process/runtime.hpp"
+#include "request/mailbox.hpp"
+#include "version/ids.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+
+namespace basilpath
+{
+
+/// Events of one gate.
+struct gate_counters
+{
+    std::uint64_t admitted = 0;
+    std::uint64_t waited = 0;
+    std::uint64_t refused = 0;
+};
+
+/// Requests that find the limit reached wait for a bounded time. The one of
+/// the most worth is admitted first, among equals the one that came last: it
+/// has the most of its time left. One gate for each service of a process; used
+/// on the runtime's thread only.
+template <runtime Runtime, admission_limit Limit>
+class admission_gate
+    : public std::enable_shared_from_this<admission_gate<Runtime, Limit>>
+{
+public:
+    using time_point = typename Runtime::clock::time_point;
+
+    /// A place in the gate, given back when it is destroyed.
+    class ticket
+    {
+    public:
+        ticket(std::shared_ptr<admission_gate> owner, time_point since)
+            : owner(std::move(owner)), since(since),
+              in_progress(this->owner->in_progress)
+        {
+        }
+
+        ticket(ticket&&) noexcept = default;
+        ticket& operator=(ticket&&) = delete;
+        ticket(const ticket&) = delete;
+        ticket& operator=(const ticket&) = delete;
+
+        ~ticket()
+        {
+            if (this->owner)
+            {
+                this->owner->leave();
+            }
+        }
+
+        /// Tells the limit how the request went.
+        void report(microseconds waited, bool complete)
+        {
+            const auto now = Runtime::clock::now();
+            this->owner->limit.learn(
+                {waited, complete, this->in_progress,
+                 std::chrono::duration_cast<microseconds>(now - this->since)},
+                std::chrono::duration_cast<microseconds>(
+                    now.time_since_epoch()));
+        }
+
+    private:
+        std::shared_ptr<admission_gate> owner;
+        time_point since;
+        std::size_t in_progress;
+    };
+
+    admission_gate(Runtime& clockwork, Limit limit)
+        : clockwork(clockwork), limit(std::move(limit))
+    {
+    }
+
+    /// Waits until the request is admitted; nothing when it was not in time.
+    boost::asio::awaitable<std::optional<ticket>> enter(worth value,
+                                                        time_point until)
+    {
+        const auto self = this->shared_from_this();
+        if (this->waiters.empty() && this->in_progress < this->limit.limit())
+        {
+            co_return this->admit();
+        }
+        ++this->counts.waited;
+        const auto place = std::make_shared<waiter>(this->clockwork, value);
+        this->queue(place);
+        while (!place->admitted && Runtime::clock::now() < until)
+        {
+            co_await place->signal.pop_until(until);
+        }
+        if (place->admitted)
+        {
+            ++this->counts.admitted;
+            co_return std::optional<ticket>(std::in_place, self,
+                                            Runtime::clock::now());
+        }
+        this->waiters.remove(place);
+        ++this->counts.refused;
+        co_return std::nullopt;
+    }
+
+    [[nodiscard]] std::size_t admitted_now() const
+    {
+        return this->in_progress;
+    }
+
+    [[nodiscard]] std::size_t waiting_now() const
+    {
+        return this->waiters.size();
+    }
+
+    [[nodiscard]] std::size_t limit_now() const
+    {
+        return this->limit.limit();
+    }
+
+    [[nodiscard]] const gate_counters& counters() const
+    {
+        return this->counts;
+    }
+
+private:
+    /// A request that waits for its place.
+    struct waiter
+    {
+        waiter(Runtime& clockwork, worth value)
+            : signal(clockwork), value(value)
+        {
+        }
+
+        mailbox<Runtime, bool> signal;
+        worth value;
+        bool admitted = false;
+    };
+
+    // Takes a place at once.
+    std::optional<ticket> admit()
+    {
+        ++this->in_progress;
+        ++this->counts.admitted;
+        return std::optional<ticket>(std::in_place, this->shared_from_this(),
+                                     Runtime::clock::now());
+    }
+
+    // Puts a waiter before all others of no more worth.
+    void queue(const std::shared_ptr<waiter>& one)
+    {
+        const auto place =
+            std::ranges::find_if(this->waiters, [&one](const auto& other)
+                                 { return other->value <= one->value; });
+        this->waiters.insert(place, one);
+    }
+
+    // Gives a place back and admits who waits first.
+    void leave()
+    {
+        --this->in_progress;
+        while (!this->waiters.empty() &&
+               this->in_progress < this->limit.limit())
+        {
+            const auto first = this->waiters.front();
+            this->waiters.pop_front();
+            first->admitted = true;
+            ++this->in_progress;
+            first->signal.wake();
+        }
+    }
+
+    Runtime& clockwork;
+    Limit limit;
+    std::list<std::shared_ptr<waiter>> waiters;
+    std::size_t in_progress = 0;
+    gate_counters counts;
+};
+
+} // namespace basilpath
--- a/src/process/entry_context.hpp
+++ b/src/process/entry_context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "connection/peer_hub.hpp"
+#include "process/admission_gate.hpp"
 #include "process/proven_queries.hpp"
 #include "process/reply_router.hpp"
 #include "process/runtime.hpp"
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace basilpath
@@ -53,6 +55,21 @@
     entry_counters counters;
     std::uint64_t next_request = 0;
 
+    using gate_type = admission_gate<Runtime, wait_limit>;
+    std::map<service_name, std::shared_ptr<gate_type>> gates;
+
+    /// The gate of a service, made on first use.
+    std::shared_ptr<gate_type> gate(const service_name& name)
+    {
+        auto& slot = this->gates[name];
+        if (!slot)
+        {
+            slot = std::make_shared<gate_type>(this->clockwork,
+                                               wait_limit(wait_target));
+        }
+        return slot;
+    }
+
     /// Returns a name for a request that no other request has.
     request_id new_request_id()
     {
@@ -61,6 +78,7 @@
                                       ++this->next_request));
     }
 
+    static constexpr microseconds wait_target{15'000};
     static constexpr std::size_t proven_query_limit = 100'000;
     static constexpr std::size_t trace_limit = 2'000;
 };
--- a/src/process/entry_server.cpp
+++ b/src/process/entry_server.cpp
@@ -2,7 +2,7 @@
 
 #include "connection/http_exchange.hpp"
 #include "connection/http_server.hpp"
-#include "process/directory.hpp"
+#include "process/entry_views.hpp"
 #include "process/log.hpp"
 #include "process/random_bytes.hpp"
 #include "process/state_subscription.hpp"
@@ -15,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <array>
 #include <utility>
 
 namespace basilpath
@@ -33,16 +32,6 @@
 constexpr std::size_t secret_bytes = 32;
 constexpr milliseconds idle_poll{20};
 
-// Makes an answer that carries no more than a code.
-http_answer plain_answer(result_code code, std::string reason)
-{
-    query_answer answer;
-    answer.code = code;
-    answer.reason = std::move(reason);
-    return {
-        info(code).http_status, to_json_text(answer), "application/json", {}};
-}
-
 // Makes the HTTP answer to a request that was run or refused.
 http_answer to_http(const query_answer& answer)
 {
@@ -84,6 +73,9 @@
           own_home(std::make_shared<real_home>(
               this->shared, random_bytes(secret_bytes),
               static_cast<std::size_t>(settings.outcome_limit))),
+          burn(std::chrono::duration_cast<microseconds>(
+                   real_runtime::clock::now().time_since_epoch()),
+               settings.burn_scale),
           server(context,
                  {settings.callers_listen,
                   static_cast<int>(settings.http_threads),
@@ -173,58 +165,28 @@
     // Answers one request of a caller or an operator.
     void serve(const std::shared_ptr<http_exchange>& exchange)
     {
-        const bool get = exchange->method == "GET";
-        const bool post = exchange->method == "POST";
-        if (exchange->path == "/v1/query" || exchange->path == "/v1/execute")
-        {
-            if (!post)
-            {
-                this->refuse_method(*exchange);
-                return;
-            }
-            this->serve_request(exchange, exchange->path == "/v1/query"
-                                              ? request_kind::query
-                                              : request_kind::execute);
-            return;
-        }
-        this->serve_view(*exchange, get);
-    }
-
-    // Answers the paths that only show something.
-    void serve_view(http_exchange& exchange, bool get)
-    {
-        using view = http_answer (implementation::*)(const http_exchange&);
-        struct known_view
+        const bool query = exchange->path == "/v1/query";
+        if (!query && exchange->path != "/v1/execute")
         {
-            std::string_view path;
-            view show;
-        };
-        constexpr std::array<known_view, 3> views = {
-            known_view{"/v1/directory", &implementation::show_directory},
-            known_view{"/healthz", &implementation::show_health},
-            known_view{"/readyz", &implementation::show_readiness}};
-        const auto found =
-            std::ranges::find(views, exchange.path, &known_view::path);
-        if (found == views.end())
-        {
-            exchange.reply(plain_answer(result_code::unknown_path,
-                                        "no path " + exchange.path));
+            exchange->reply(show_view(this->parts(), *exchange));
         }
-        else if (!get)
+        else if (exchange->method != "POST")
         {
-            this->refuse_method(exchange);
+            exchange->reply(
+                plain_answer(result_code::method_not_allowed,
+                             exchange->path + " only accepts POST"));
         }
         else
         {
-            exchange.reply((this->*found->show)(exchange));
+            this->serve_request(exchange, query ? request_kind::query
+                                                : request_kind::execute);
         }
     }
 
-    void refuse_method(http_exchange& exchange)
+    entry_parts parts()
     {
-        exchange.reply(plain_answer(result_code::method_not_allowed,
-                                    exchange.path + " does not accept " +
-                                        exchange.method));
+        return {*this->shared, *this->own_home, this->burn, this->metrics,
+                this->draining};
     }
 
     // Checks a caller's request and starts its session.
@@ -261,6 +223,7 @@
               time_point arrived)
     {
         const auto self = this->shared_from_this();
+        const class_name name = request.request_class;
         const auto session = std::make_shared<real_query>(
             this->shared, std::move(request), arrived);
         exchange->on_cancel(
@@ -272,7 +235,7 @@
                 }
             });
         const query_answer answer = co_await session->run();
-        exchange->reply(to_http(answer));
+        this->answer(*exchange, name, arrived, answer);
     }
 
     boost::asio::awaitable<void>
@@ -280,39 +243,32 @@
                 time_point arrived)
     {
         const auto self = this->shared_from_this();
+        const class_name name = request.request_class;
         const auto session = std::make_shared<real_execute>(
             this->shared, this->own_home, std::move(request), arrived);
         const query_answer answer = co_await session->run();
-        exchange->reply(to_http(answer));
+        this->answer(*exchange, name, arrived, answer);
     }
 
-    http_answer show_directory(const http_exchange& exchange)
+    // Counts an answer and gives it to the caller.
+    void answer(http_exchange& exchange, const class_name& name,
+                time_point arrived, const query_answer& answer)
     {
-        directory answer =
-            choose_directory(*this->subscription.current(),
-                             parse_directory_query(exchange.query), {},
-                             [this] { return this->clockwork.random(); });
-        if (!this->draining)
+        const auto now = real_runtime::clock::now();
+        const auto state = this->subscription.current();
+        const request_class* const owner =
+            state->configuration ? state->configuration->find_class(name)
+                                 : nullptr;
+        if (owner != nullptr)
         {
-            answer.tokens.push_back(this->own_home->issue_token());
+            const auto latency =
+                std::chrono::duration_cast<microseconds>(now - arrived);
+            this->metrics.record(*owner, answer.code, latency);
+            this->burn.record(*owner, {answer.code, answer.covered, latency},
+                              std::chrono::duration_cast<microseconds>(
+                                  now.time_since_epoch()));
         }
-        return {200, to_json_text(answer), "application/json", {}};
-    }
-
-    http_answer show_health(const http_exchange&)
-    {
-        return {200, "{\"healthy\":true}", "application/json", {}};
-    }
-
-    http_answer show_readiness(const http_exchange&)
-    {
-        const auto state = this->subscription.current();
-        const bool ready =
-            state->configuration && state->hosts && !this->draining;
-        return {ready ? 200 : 503,
-                ready ? "{\"ready\":true}" : "{\"ready\":false}",
-                "application/json",
-                {}};
+        exchange.reply(to_http(answer));
     }
 
     boost::asio::io_context& context;
@@ -323,6 +279,8 @@
     state_subscription subscription;
     std::shared_ptr<real_context> shared;
     std::shared_ptr<real_home> own_home;
+    burn_tracker burn;
+    entry_metrics metrics;
     http_server server;
     bool draining = false;
 };
--- a/src/process/entry_settings.cpp
+++ b/src/process/entry_settings.cpp
@@ -22,6 +22,7 @@
     reader.integer("drain.time_ms", 0, 600'000, &settings.drain_ms);
     reader.integer("home.outcome_limit", 1, 10'000'000,
                    &settings.outcome_limit);
+    reader.number("burn.scale", 0.0001, 1.0, &settings.burn_scale);
     reader.choice("log.level", {"debug", "info", "warning", "error"},
                   &settings.log_level);
     for (const char* const name :
--- a/src/process/entry_settings.hpp
+++ b/src/process/entry_settings.hpp
@@ -23,6 +23,7 @@
     std::string agent_address;
     std::int64_t drain_ms = 2'000;
     std::int64_t outcome_limit = 1'000'000;
+    double burn_scale = 1.0;
     std::string log_level = "info";
 };
 
--- /dev/null
+++ b/src/process/entry_views.hpp
@@ -0,0 +1,35 @@
+/// What an entry shows to callers and operators besides answers.
+#pragma once
+
+#include "connection/http_answer.hpp"
+#include "connection/peer_hub.hpp"
+#include "process/burn_tracker.hpp"
+#include "process/entry_metrics.hpp"
+#include "process/home.hpp"
+#include "process/runtime.hpp"
+
+namespace basilpath
+{
+
+class http_exchange;
+
+/// The parts of an entry that its views read; all outlive a view.
+struct entry_parts
+{
+    entry_context<real_runtime, peer_hub>& shared;
+    home<real_runtime, peer_hub>& own_home;
+    const burn_tracker& burn;
+    entry_metrics& metrics;
+    bool draining = false;
+};
+
+/// Answers a `GET` of `/v1/directory`, `/v1/explain/ID`, `/v1/burn`,
+/// `/metrics`, `/healthz` or `/readyz`; any other path with `unknown_path`,
+/// any other method with `method_not_allowed`.
+[[nodiscard]] http_answer show_view(const entry_parts& parts,
+                                    const http_exchange& exchange);
+
+/// Makes an answer that carries no more than a code and a reason.
+[[nodiscard]] http_answer plain_answer(result_code code, std::string reason);
+
+} // namespace basilpath
--- a/src/process/home.hpp
+++ b/src/process/home.hpp
@@ -49,10 +49,16 @@
                                                  home_token token,
                                                  time_point arrived);
 
-    [[nodiscard]] const home_counters& counters() const;
+    [[nodiscard]] const home_counters& counters() const
+    {
+        return this->counts;
+    }
 
     /// Keys remembered.
-    [[nodiscard]] std::size_t remembered() const;
+    [[nodiscard]] std::size_t remembered() const
+    {
+        return this->outcomes.size();
+    }
 
 private:
     using box = typename reply_router<Runtime>::box;
--- a/src/process/home.ipp
+++ b/src/process/home.ipp
@@ -292,18 +292,6 @@
     return answer;
 }
 
-template <runtime Runtime, peer_transport Transport>
-const home_counters& home<Runtime, Transport>::counters() const
-{
-    return this->counts;
-}
-
-template <runtime Runtime, peer_transport Transport>
-std::size_t home<Runtime, Transport>::remembered() const
-{
-    return this->outcomes.size();
-}
-
 template <runtime Runtime, peer_transport Transport>
 microseconds home<Runtime, Transport>::now() const
 {
--- a/src/request/query_session.hpp
+++ b/src/request/query_session.hpp
@@ -40,6 +40,8 @@
     [[nodiscard]] const request_id& id() const;
 
 private:
+    boost::asio::awaitable<query_answer> run_admitted();
+    query_answer refuse_overload();
     std::optional<query_answer> refuse_early();
     bool pin(std::optional<version_number> except);
     void select_shards();
@@ -61,6 +63,7 @@
     query_answer refusal(result_code code, std::string reason) const;
     [[nodiscard]] bool all_settled(const std::vector<std::size_t>& which) const;
     [[nodiscard]] microseconds time_left() const;
+    [[nodiscard]] microseconds age() const;
     void note(std::string text);
 
     std::shared_ptr<context> shared;
@@ -78,6 +81,7 @@
     std::unique_ptr<answer_merger> merger;
     std::vector<shard_progress> shards;
     std::uint32_t next_attempt = 0;
+    microseconds longest_wait{0};
     bool canary_running = false;
     bool cancelled = false;
 };
--- a/src/request/query_session.ipp
+++ b/src/request/query_session.ipp
@@ -33,6 +33,13 @@
 /// left.
 inline constexpr double restart_budget_share = 0.4;
 
+/// Share of its budget that a request waits for admission.
+inline constexpr double admission_share = 0.15;
+
+/// When a request that was refused for overload should come back.
+inline constexpr milliseconds retry_least{500};
+inline constexpr std::uint64_t retry_spread_ms = 1'000;
+
 /// Shards on which a query that is not proven may be tried.
 inline constexpr std::size_t canary_shards = 3;
 
@@ -65,7 +72,33 @@
         co_return std::move(*refused);
     }
 
-    // Step 3. Pin the newest index version that can be answered whole.
+    // Step 3. Wait for a place among the requests in progress.
+    const request_class* const owner =
+        this->state->configuration->find_class(this->request.request_class);
+    const auto patience = std::chrono::duration_cast<microseconds>(
+        this->request.budget * query_limits::admission_share);
+    auto place = co_await this->shared->gate(this->request.service)
+                     ->enter(owner == nullptr ? worth(0.0) : owner->value,
+                             this->arrived + patience);
+    if (!place)
+    {
+        co_return this->refuse_overload();
+    }
+    if (this->cancelled)
+    {
+        co_return this->refusal(result_code::cancelled, "the caller went away");
+    }
+    query_answer answer = co_await this->run_admitted();
+    place->report(this->longest_wait, answer.code == result_code::complete);
+    co_return answer;
+}
+
+// Runs a query that has been admitted.
+template <runtime Runtime, peer_transport Transport>
+boost::asio::awaitable<query_answer>
+query_session<Runtime, Transport>::run_admitted()
+{
+    // Step 4. Pin the newest index version that can be answered whole.
     if (!this->pin(std::nullopt))
     {
         co_return this->refusal(result_code::no_replica,
@@ -74,19 +107,19 @@
     this->replies =
         this->shared->router.open(this->own_id, this->shared->clockwork);
 
-    // Step 4. Try a query that is not known to be harmless on one shard.
+    // Step 5. Try a query that is not known to be harmless on one shard.
     if (this->needs_canary())
     {
         co_await this->run_canary();
     }
 
-    // Step 5. Ask the owners of all shards and gather what they reply.
+    // Step 6. Ask the owners of all shards and gather what they reply.
     std::vector<std::size_t> all(this->shards.size());
     std::iota(all.begin(), all.end(), std::size_t{0});
     this->ask(all);
     co_await this->collect(all);
 
-    // Step 6. Once more on another version, if this one could not be served.
+    // Step 7. Once more on another version, if this one could not be served.
     if (this->restart_needed() && this->pin(this->pinned->number))
     {
         ++this->shared->counters.version_restarts;
@@ -96,7 +129,7 @@
         co_await this->collect(all);
     }
 
-    // Step 7. Stop what is still running and answer.
+    // Step 8. Stop what is still running and answer.
     this->cancel_outstanding();
     this->shared->router.close(this->own_id);
     co_return this->finish();
@@ -119,6 +152,19 @@
     return this->own_id;
 }
 
+// Refuses a query that found no place in time, with a time to come back that
+// differs from caller to caller.
+template <runtime Runtime, peer_transport Transport>
+query_answer query_session<Runtime, Transport>::refuse_overload()
+{
+    auto refused = this->refusal(result_code::overloaded,
+                                 "requests of more worth take all places");
+    refused.retry_after = query_limits::retry_least +
+                          milliseconds(this->shared->clockwork.random() %
+                                       query_limits::retry_spread_ms);
+    return refused;
+}
+
 // Refuses a query that no target may run.
 template <runtime Runtime, peer_transport Transport>
 std::optional<query_answer> query_session<Runtime, Transport>::refuse_early()
@@ -347,6 +393,7 @@
         shard_progress& progress = this->shards[place];
         progress.asked = sent ? &owner : nullptr;
         progress.attempt = attempt;
+        progress.asked_at = this->age();
         progress.may_have_run = progress.may_have_run || sent;
     }
     this->shared->counters.shards_asked += which.size();
@@ -438,6 +485,10 @@
     {
     case merge_outcome::merged:
         progress.merged = true;
+        this->longest_wait =
+            std::max(this->longest_wait, this->age() - progress.asked_at -
+                                             microseconds(result.elapsed_us()) +
+                                             microseconds(result.queued_us()));
         progress.failure.reset();
         ++counters.shards_merged;
         this->note(fmt::format(
@@ -603,9 +654,14 @@
 template <runtime Runtime, peer_transport Transport>
 void query_session<Runtime, Transport>::note(std::string text)
 {
-    const auto at = std::chrono::duration_cast<microseconds>(
-        Runtime::clock::now() - this->arrived);
-    this->trace->events.push_back({at, std::move(text)});
+    this->trace->events.push_back({this->age(), std::move(text)});
+}
+
+template <runtime Runtime, peer_transport Transport>
+microseconds query_session<Runtime, Transport>::age() const
+{
+    return std::chrono::duration_cast<microseconds>(Runtime::clock::now() -
+                                                    this->arrived);
 }
 
 } // namespace basilpath
--- a/src/request/shard_progress.hpp
+++ b/src/request/shard_progress.hpp
@@ -22,6 +22,9 @@
     /// Host that works on the shard; null when none does.
     const host* asked = nullptr;
 
+    /// When it was asked, after the arrival of the request.
+    microseconds asked_at{0};
+
     /// Number of the message that asked it.
     std::uint32_t attempt = 0;
 
