Load tool: checks from the stand-in's record, and an oracle

Cause: a run says nothing while an answer may be mixed, doubled or false. Change: after a run the load tool reads what the leaves have seen and judges every answer by its items: doubled executions, mixed versions, crossed answers, coverage, "not run" that had run, connections over a leaf's limit, work for leaving leaves, leaves lost to one request, extra load, refusals of the worthiest class, and worth-weighted service against an oracle of the same capacity.

--- a/bench/load/entry_protocol.cpp
+++ b/bench/load/entry_protocol.cpp
@@ -2,7 +2,9 @@
 
 #include "load/load_plan.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <ranges>
@@ -16,17 +18,41 @@
 // A caller waits this long past its deadline, so that late answers are seen.
 constexpr milliseconds late_answer_time{500};
 
+// The query of a request; equal subjects make equal queries.
+nlohmann::json make_query(const traffic_mix& mix, const std::string& subject)
+{
+    nlohmann::json query = {{"key", subject}};
+    if (mix.poison)
+    {
+        query["poison"] = true;
+    }
+    return query;
+}
+
+// The start of the names of the items that the stand-in's leaves give.
+std::string item_name(const traffic_mix& mix, const item_origin& origin,
+                      std::uint64_t query_digest)
+{
+    constexpr std::uint64_t digest_mask = 0xFFFFFF;
+    return fmt::format("{}-{}-{}-{:x}-", mix.service.value,
+                       origin.version.value, origin.shard.value,
+                       query_digest & digest_mask);
+}
+
 // Reads the items of an answer: from which shard and version each comes.
-void read_items(const nlohmann::json& items, const std::string& subject,
-                caller_answer& answer)
+void read_items(const nlohmann::json& items, const traffic_mix& mix,
+                const std::string& subject, caller_answer& answer)
 {
+    const std::string query = make_query(mix, subject).dump();
+    const std::uint64_t digest = XXH3_64bits(query.data(), query.size());
     for (const auto& item : items)
     {
-        answer.origins.push_back(
-            {shard_number(item.at("shard").get<std::uint32_t>()),
-             version_number(item.at("version").get<std::uint64_t>())});
-        const auto key = item.find("key");
-        if (key != item.end() && *key != subject)
+        const item_origin origin{
+            shard_number(item.at("shard").get<std::uint32_t>()),
+            version_number(item.at("version").get<std::uint64_t>())};
+        answer.origins.push_back(origin);
+        const auto& name = item.at("id").get_ref<const std::string&>();
+        if (!name.starts_with(item_name(mix, origin, digest)))
         {
             ++answer.foreign_items;
         }
@@ -38,8 +64,8 @@
 }
 
 // Reads the fields of an answer; throws when one is not of its form.
-void read_fields(const nlohmann::json& json, const std::string& subject,
-                 caller_answer& answer)
+void read_fields(const nlohmann::json& json, const traffic_mix& mix,
+                 const std::string& subject, caller_answer& answer)
 {
     answer.request = json.value("request", "");
     answer.reported_coverage = json.value("coverage", 0.0);
@@ -48,7 +74,8 @@
     {
         answer.missing.emplace_back(shard.get<std::uint32_t>());
     }
-    read_items(json.value("items", nlohmann::json::array()), subject, answer);
+    read_items(json.value("items", nlohmann::json::array()), mix, subject,
+               answer);
     answer.code = json.at("code").get<std::uint32_t>();
 }
 
@@ -61,11 +88,7 @@
                            {"class", mix.request_class.value},
                            {"deadline_ms", details.deadline.count()},
                            {"request", details.request},
-                           {"query", {{"key", details.subject}}}};
-    if (mix.poison)
-    {
-        body["query"]["poison"] = true;
-    }
+                           {"query", make_query(mix, details.subject)}};
     if (mix.execute)
     {
         body["key"] = details.subject;
@@ -84,7 +107,7 @@
     return request;
 }
 
-caller_answer read_entry_reply(const http_reply& reply,
+caller_answer read_entry_reply(const http_reply& reply, const traffic_mix& mix,
                                const std::string& subject)
 {
     caller_answer answer;
@@ -96,7 +119,7 @@
     }
     try
     {
-        read_fields(json, subject, answer);
+        read_fields(json, mix, subject, answer);
     }
     catch (const nlohmann::json::exception&)
     {
--- a/bench/load/entry_protocol.hpp
+++ b/bench/load/entry_protocol.hpp
@@ -33,7 +33,9 @@
 
 /// Reads the reply of a host; fields that cannot be read are left out, and
 /// without a result code the answer has none.
+/// Items are compared with those that the stand-in's leaves give this query.
 [[nodiscard]] caller_answer read_entry_reply(const http_reply& reply,
+                                             const traffic_mix& mix,
                                              const std::string& subject);
 
 } // namespace basilpath::load
--- a/bench/load/load_plan.cpp
+++ b/bench/load/load_plan.cpp
@@ -98,12 +98,33 @@
             {"body", word(action.body)}};
 }
 
+key_table keys_of(plan_window& window)
+{
+    return {{"from_ms", whole(window.from)}, {"until_ms", whole(window.until)}};
+}
+
+key_table keys_of(target_speed& targets)
+{
+    return {{"service_ms", number(targets.service_ms)},
+            {"sigma", number(targets.sigma)}};
+}
+
+key_table keys_of(plan_bounds& bounds)
+{
+    return {{"extra_load", number(bounds.extra_load)},
+            {"oracle_share", number(bounds.oracle_share)},
+            {"crashes_per_request", number(bounds.crashes_per_request)},
+            {"worthiest_refused", number(bounds.worthiest_refused)}};
+}
+
 // Returns the keys of a section, after adding the element that the first line
 // of a named section stands for; empty when no such section is known.
 key_table keys_of_section(load_plan& plan, const std::string& section,
                           bool first)
 {
     const std::string kind = section.substr(0, section.find(' '));
+    const std::string name =
+        section.substr(std::min(section.size(), kind.size() + 1));
     const auto element = [first](auto& list) -> auto&
     {
         if (first)
@@ -116,10 +137,24 @@
     {
         return keys_of(plan);
     }
+    if (section == "targets")
+    {
+        return keys_of(plan.targets);
+    }
+    if (section == "bounds")
+    {
+        return keys_of(plan.bounds);
+    }
+    if (kind == "window")
+    {
+        plan_window& window = element(plan.windows);
+        window.name = name;
+        return keys_of(window);
+    }
     if (kind == "mix")
     {
         traffic_mix& mix = element(plan.mixes);
-        mix.name = section.substr(std::min(section.size(), kind.size() + 1));
+        mix.name = name;
         return keys_of(mix);
     }
     if (kind == "step")
--- a/bench/load/load_plan.hpp
+++ b/bench/load/load_plan.hpp
@@ -55,9 +55,42 @@
     std::string body;
 };
 
+/// A part of the run whose figures are given apart.
+struct plan_window
+{
+    std::string name;
+    milliseconds from{0};
+    milliseconds until{0};
+};
+
+/// Service times of the targets, from which the oracle's capacity comes.
+struct target_speed
+{
+    /// Median and log-normal spread; a median of 0 means no oracle.
+    double service_ms = 0.0;
+    double sigma = 0.4;
+};
+
+/// Bounds beyond those that always hold; negative for none.
+struct plan_bounds
+{
+    /// Most requests sent to leaves beyond those needed, as a share.
+    double extra_load = -1.0;
+
+    /// Least worth-weighted service, as a share of the oracle's.
+    double oracle_share = -1.0;
+
+    /// Most leaves that one crashing request may cost.
+    double crashes_per_request = 2.0;
+
+    /// Most requests of a service's worthiest class that may be refused as
+    /// overload while one of less worth is served.
+    double worthiest_refused = -1.0;
+};
+
 /// One run. INI: section `[load]`, one section `[mix NAME]` for each mix, one
-/// section `[step NAME]` for each step, one section `[action NAME]` for each
-/// action.
+/// section `[step NAME]` for each step, `[action NAME]` for each action and
+/// `[window NAME]` for each window; `[targets]` and `[bounds]`.
 struct load_plan
 {
     std::uint64_t seed = 1;
@@ -70,6 +103,9 @@
     std::vector<traffic_mix> mixes;
     std::vector<rate_step> steps;
     std::vector<control_action> actions;
+    std::vector<plan_window> windows;
+    target_speed targets;
+    plan_bounds bounds;
 };
 
 /// Parses a plan; nothing, with the faults in `*reason`, when it has any.
--- a/bench/load/load_run.cpp
+++ b/bench/load/load_run.cpp
@@ -57,6 +57,8 @@
     }
     running.clear();
     run_record record;
+    record.start =
+        std::chrono::duration_cast<microseconds>(start.time_since_epoch());
     for (const auto& worker : workers)
     {
         std::ranges::copy(worker->outcomes(),
--- a/bench/load/load_run.hpp
+++ b/bench/load/load_run.hpp
@@ -15,6 +15,9 @@
 {
     std::vector<std::shared_ptr<request_outcome>> outcomes;
     std::size_t unsent = 0;
+
+    /// Start of the run on the monotonic clock, which all processes share.
+    microseconds start{0};
 };
 
 /// Runs a plan from `threads` threads; blocks until every request has ended.
--- a/bench/load/load_worker.cpp
+++ b/bench/load/load_worker.cpp
@@ -163,7 +163,8 @@
     http_request sent =
         make_entry_request(host, this->mix_of(request), details);
     const http_reply reply = co_await this->client.send(std::move(sent));
-    caller_answer answer = read_entry_reply(reply, subject);
+    caller_answer answer =
+        read_entry_reply(reply, this->mix_of(request), subject);
     answer.received = this->elapsed();
     answer.host = host;
     answer.asked = name;
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -3,20 +3,24 @@
 #include "load/entry_protocol.hpp"
 #include "load/load_plan.hpp"
 #include "load/load_run.hpp"
-#include "load/run_summary.hpp"
+#include "load/run_report.hpp"
+#include "load/standin_view.hpp"
 #include "process/log.hpp"
 #include "process/settings.hpp"
+#include "version/document.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdio>
+#include <chrono>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <ranges>
 #include <sstream>
+#include <thread>
 
 DEFINE_string(hosts, "", "entry hosts, ip:port,ip:port,...");
 DEFINE_string(plan, "", "plan file (INI); without one the flags below count");
@@ -42,8 +46,12 @@
 using namespace basilpath::load;
 
 constexpr int exit_good = 0;
+constexpr int exit_violation = 1;
 constexpr int exit_usage = 2;
 
+// Time for work that outlives its caller to end at the leaves.
+constexpr std::chrono::milliseconds settle_time{700};
+
 // Returns the bytes of a file, empty when it cannot be read.
 std::string read_file(const std::string& name)
 {
@@ -120,21 +128,45 @@
     return exit_good;
 }
 
-// Runs the plan and prints its figures.
-int run(const load_plan& plan, const std::vector<std::string>& hosts)
+// Runs the plan; with a stand-in to ask, its records are cleared before and
+// judged after.
+run_report run(const load_plan& plan, const std::vector<std::string>& hosts)
 {
+    const caller_options options{hosts, FLAGS_callers};
+    if (FLAGS_control.empty())
+    {
+        const run_record record = run_load(plan, options, FLAGS_threads, "");
+        return make_report(plan, record, nullptr, nullptr);
+    }
+    control_channel channel(FLAGS_control);
+    const auto before = read_published_document(channel);
+    if (!before || !reset_records(channel))
+    {
+        log_event(log_level::error, "standin_silent",
+                  {{"control", FLAGS_control}});
+        std::exit(exit_usage);
+    }
     const run_record record =
-        run_load(plan, {hosts, FLAGS_callers}, FLAGS_threads, FLAGS_control);
-    const run_summary summary = summarize(plan, record.outcomes);
-    fmt::print("{}", to_table(summary));
+        run_load(plan, options, FLAGS_threads, FLAGS_control);
+    std::this_thread::sleep_for(settle_time);
+    const auto seen = read_record(channel, record.start);
+    const auto after = read_published_document(channel);
+    const document configuration =
+        with_earlier_versions(after ? *after : *before, *before);
+    return make_report(plan, record, &configuration, seen ? &*seen : nullptr);
+}
+
+// Prints the report and stores it where the flags say.
+int finish(const load_plan& plan, const run_report& report)
+{
+    fmt::print("{}", to_text(report));
     if (!FLAGS_results.empty())
     {
-        nlohmann::json results = to_json(summary);
+        nlohmann::json results = to_json(report);
         results["seed"] = plan.seed;
-        results["unsent"] = record.unsent;
         std::ofstream(FLAGS_results) << results.dump(1) << '\n';
     }
-    return exit_good;
+    return report.violations.empty() ? exit_good : exit_violation;
 }
 
 } // namespace
@@ -160,5 +192,6 @@
     {
         return exit_usage;
     }
-    return FLAGS_show ? show(*plan, hosts.front()) : run(*plan, hosts);
+    return FLAGS_show ? show(*plan, hosts.front())
+                      : finish(*plan, run(*plan, hosts));
 }
--- a/bench/load/request_outcome.hpp
+++ b/bench/load/request_outcome.hpp
@@ -43,7 +43,7 @@
     std::vector<item_origin> origins;
     std::size_t items = 0;
 
-    /// Items whose subject is not that of the request.
+    /// Items that are not those of the request's own query.
     std::size_t foreign_items = 0;
 
     bool operator==(const caller_answer&) const = default;
--- a/bench/load/run_summary.cpp
+++ b/bench/load/run_summary.cpp
@@ -78,7 +78,8 @@
 
 run_summary
 summarize(const load_plan& plan,
-          const std::vector<std::shared_ptr<request_outcome>>& outcomes)
+          const std::vector<std::shared_ptr<request_outcome>>& outcomes,
+          microseconds from, microseconds until)
 {
     run_summary summary;
     for (const traffic_mix& mix : plan.mixes)
@@ -91,7 +92,7 @@
     for (const auto& outcome : outcomes)
     {
         const arrival& scheduled = outcome->scheduled;
-        if (scheduled.at >= plan.warm_up)
+        if (scheduled.at >= from && scheduled.at < until)
         {
             add_outcome(*outcome, plan.mixes[scheduled.mix].deadline,
                         summary.mixes[scheduled.mix]);
--- a/bench/load/run_summary.hpp
+++ b/bench/load/run_summary.hpp
@@ -49,10 +49,11 @@
     microseconds sent_late{0};
 };
 
-/// Counts the outcomes of a run; the warm-up is left out.
+/// Counts the requests that were due from `from` to `until`.
 [[nodiscard]] run_summary
 summarize(const load_plan& plan,
-          const std::vector<std::shared_ptr<request_outcome>>& outcomes);
+          const std::vector<std::shared_ptr<request_outcome>>& outcomes,
+          microseconds from, microseconds until);
 
 /// A table for a terminal.
 [[nodiscard]] std::string to_table(const run_summary& summary);
--- /dev/null
+++ b/bench/load/standin_view.cpp
@@ -0,0 +1,71 @@
+#include "load/standin_view.hpp"
+
+#include "version/document.hpp"
+#include "version/document_parser.hpp"
+#include "version/index_version.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace basilpath::load
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+
+} // namespace
+
+bool reset_records(control_channel& channel)
+{
+    return channel.send("POST", "/standin/reset", "{}").status == http_ok;
+}
+
+std::shared_ptr<const document>
+read_published_document(control_channel& channel)
+{
+    const http_reply reply = channel.send("GET", "/v1/values/document");
+    const std::size_t first_line = reply.body.find('\n');
+    if (reply.status != http_ok || first_line == std::string::npos)
+    {
+        return nullptr;
+    }
+    return parse_document(std::string_view(reply.body).substr(first_line + 1))
+        .value;
+}
+
+std::optional<target_record> read_record(control_channel& channel,
+                                         microseconds start)
+{
+    const http_reply reply = channel.send("GET", "/standin/record");
+    return reply.status == http_ok ? read_target_record(reply.body, start)
+                                   : std::nullopt;
+}
+
+document with_earlier_versions(const document& later, const document& earlier)
+{
+    document merged = later;
+    for (auto& [name, one] : merged.services)
+    {
+        const service* const before = earlier.find_service(name);
+        if (before == nullptr)
+        {
+            continue;
+        }
+        const auto is_gone = [&one](const auto& version)
+        {
+            return std::ranges::find(one.versions, version->number,
+                                     [](const auto& known) {
+                                         return known->number;
+                                     }) == one.versions.end();
+        };
+        std::vector<std::shared_ptr<const index_version>> gone;
+        std::ranges::copy_if(before->versions, std::back_inserter(gone),
+                             is_gone);
+        std::ranges::move(gone, std::back_inserter(one.versions));
+    }
+    return merged;
+}
+
+} // namespace basilpath::load
--- a/test/load_summary_test.cpp
+++ b/test/load_summary_test.cpp
@@ -36,11 +36,13 @@
     auto warm_up = outcome(result_code::complete, milliseconds(1));
     warm_up->scheduled.at = milliseconds(100);
     const run_summary summary =
-        summarize(plan, {outcome(result_code::complete, milliseconds(20)),
-                         outcome(result_code::complete, milliseconds(101)),
-                         outcome(result_code::partial, milliseconds(90), 0.5),
-                         outcome(result_code::overloaded, milliseconds(1), 0.0),
-                         unanswered, warm_up});
+        summarize(plan,
+                  {outcome(result_code::complete, milliseconds(20)),
+                   outcome(result_code::complete, milliseconds(101)),
+                   outcome(result_code::partial, milliseconds(90), 0.5),
+                   outcome(result_code::overloaded, milliseconds(1), 0.0),
+                   unanswered, warm_up},
+                  milliseconds(500), milliseconds(2000));
     const mix_summary& mix = summary.mixes[0];
     CHECK(mix.offered == 5);
     CHECK(mix.served == 1);
--- a/test/load_worker_test.cpp
+++ b/test/load_worker_test.cpp
@@ -68,7 +68,7 @@
     static std::string answer_to(const std::string& body)
     {
         const auto query = nlohmann::json::parse(body);
-        const nlohmann::json item = {{"shard", 0}, {"version", 3}};
+        const nlohmann::json item = {{"id", "x"}, {"shard", 0}, {"version", 3}};
         return nlohmann::json({{"request", query.at("request")},
                                {"code", 0},
                                {"coverage", 1.0},
@@ -114,6 +114,7 @@
         CHECK(answer.code == 0U);
         CHECK(answer.request == answer.asked);
         CHECK(answer.items == 2);
+        CHECK(answer.foreign_items == 2);
         CHECK(answer.origins ==
               std::vector{item_origin{shard_number(0), version_number(3)}});
     }
