--- a/src/process/burn_class.cpp
+++ b/src/process/burn_class.cpp
@@ -21,8 +21,9 @@
 // Reads counts; throws a JSON exception when they are not of the form.
 burn_counts counts_from_json(const json& value)
 {
-    return {value.at("total").get<std::uint64_t>(),
-            value.at("served").get<std::uint64_t>()};
+    const burn_counts counts{value.at("total").get<std::uint64_t>(),
+                             value.at("served").get<std::uint64_t>()};
+    return {counts.total, std::min(counts.served, counts.total)};
 }
 
 json latency_to_json(const latency_histogram& latency)
--- /dev/null
+++ b/src/process/file.hpp
@@ -0,0 +1,13 @@
+/// Reading whole files.
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace basilpath
+{
+
+/// Returns the bytes of a file, or nothing when it cannot be read.
+[[nodiscard]] std::optional<std::string> read_file(const std::string& name);
+
+} // namespace basilpath
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -1,5 +1,6 @@
 #include "process/settings.hpp"
 
+#include "process/file.hpp"
 #include "version/ini_reader.hpp"
 #include "version/number.hpp"
 
@@ -7,7 +8,6 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
-#include <fstream>
 #include <iterator>
 #include <ranges>
 #include <utility>
@@ -18,17 +18,6 @@
 namespace
 {
 
-// Returns the bytes of a file, or nothing when it cannot be read.
-std::optional<std::string> read_file(const std::string& name)
-{
-    std::ifstream file(name, std::ios::binary);
-    if (!file)
-    {
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 // Stores a number when it is in range.
 template <class Number>
 std::function<bool(const std::string&)>
