--- a/src/process/entry_context.hpp
+++ b/src/process/entry_context.hpp
@@ -12,6 +12,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -78,6 +79,20 @@
                                       ++this->next_request));
     }
 
+    /// Share of the admission limits in use at the busiest service; 1 when
+    /// requests wait for admission.
+    [[nodiscard]] double used() const
+    {
+        double most = 0.0;
+        for (const auto& [name, one] : this->gates)
+        {
+            const auto busy = static_cast<double>(one->admitted_now()) /
+                              static_cast<double>(one->limit_now());
+            most = std::max(most, one->waiting_now() > 0 ? 1.0 : busy);
+        }
+        return std::min(most, 1.0);
+    }
+
     static constexpr microseconds wait_target{15'000};
     static constexpr std::size_t proven_query_limit = 100'000;
     static constexpr std::size_t trace_limit = 2'000;
--- a/src/process/entry_server.cpp
+++ b/src/process/entry_server.cpp
@@ -3,6 +3,7 @@
 #include "connection/http_exchange.hpp"
 #include "connection/http_server.hpp"
 #include "process/entry_views.hpp"
+#include "process/load_exchange.hpp"
 #include "process/log.hpp"
 #include "process/random_bytes.hpp"
 #include "process/state_subscription.hpp"
@@ -73,6 +74,7 @@
           own_home(std::make_shared<real_home>(
               this->shared, random_bytes(secret_bytes),
               static_cast<std::size_t>(settings.outcome_limit))),
+          loads(this->clockwork, this->hub, host_id(settings.host)),
           burn(std::chrono::duration_cast<microseconds>(
                    real_runtime::clock::now().time_since_epoch()),
                settings.burn_scale),
@@ -96,6 +98,9 @@
         case wire::Envelope::kState:
             this->subscription.receive(message.state());
             break;
+        case wire::Envelope::kLoad:
+            this->loads.receive(message.load());
+            break;
         case wire::Envelope::kShardResults:
             this->route(message.shard_results().request(), from, sender,
                         message);
@@ -187,8 +192,8 @@
 
     entry_parts parts()
     {
-        return {*this->shared, *this->own_home, this->burn, this->metrics,
-                this->draining};
+        return {*this->shared, *this->own_home,     this->burn,
+                this->metrics, this->loads.loads(), this->draining};
     }
 
     // Checks a caller's request and starts its session.
@@ -252,6 +257,22 @@
         this->answer(*exchange, name, arrived, answer);
     }
 
+    // Tells other hosts now and then how busy this one is.
+    boost::asio::awaitable<void> exchange_loads()
+    {
+        const auto owner = this->shared_from_this();
+        boost::asio::steady_timer timer(this->context);
+        while (!this->draining)
+        {
+            this->loads.tell(*this->subscription.current(),
+                             this->shared->used());
+            timer.expires_after(
+                load_exchange<real_runtime, peer_hub>::round_interval);
+            co_await timer.async_wait(
+                boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+    }
+
     // Counts an answer and gives it to the caller.
     void answer(http_exchange& exchange, const class_name& name,
                 time_point arrived, const query_answer& answer)
@@ -281,6 +302,7 @@
     state_subscription subscription;
     std::shared_ptr<real_context> shared;
     std::shared_ptr<real_home> own_home;
+    load_exchange<real_runtime, peer_hub> loads;
     burn_tracker burn;
     entry_metrics metrics;
     http_server server;
@@ -298,6 +320,8 @@
 void entry_server::start()
 {
     this->self->subscription.start();
+    boost::asio::co_spawn(this->self->context, this->self->exchange_loads(),
+                          boost::asio::detached);
     log_event(log_level::info, "started",
               {{"host", this->self->settings.host},
                {"callers", this->self->server.port()},
--- a/src/process/entry_views.cpp
+++ b/src/process/entry_views.cpp
@@ -35,8 +35,8 @@
                            const http_exchange& exchange)
 {
     directory answer = choose_directory(
-        *parts.shared.state(), parse_directory_query(exchange.query), {},
-        [&parts] { return parts.shared.clockwork.random(); });
+        *parts.shared.state(), parse_directory_query(exchange.query),
+        parts.loads, [&parts] { return parts.shared.clockwork.random(); });
     if (!parts.draining)
     {
         answer.tokens.push_back(parts.own_home.issue_token());
--- a/src/process/entry_views.hpp
+++ b/src/process/entry_views.hpp
@@ -8,6 +8,8 @@
 #include "process/home.hpp"
 #include "process/runtime.hpp"
 
+#include <map>
+
 namespace basilpath
 {
 
@@ -20,6 +22,10 @@
     home<real_runtime, peer_hub>& own_home;
     const burn_tracker& burn;
     entry_metrics& metrics;
+
+    /// Share of its capacity that each host uses, as far as it is known.
+    std::map<host_id, double> loads;
+
     bool draining = false;
 };
 
--- a/src/process/home.hpp
+++ b/src/process/home.hpp
@@ -67,6 +67,8 @@
     run_started(request_id id, caller_request request, time_point deadline);
     boost::asio::awaitable<query_answer>
     join(request_id id, caller_request request, time_point deadline);
+    boost::asio::awaitable<std::optional<typename context::gate_type::ticket>>
+    admit(const caller_request& request, time_point deadline);
     boost::asio::awaitable<void> await_late(std::shared_ptr<box> replies,
                                             caller_request request,
                                             request_id id);
--- a/src/process/home.ipp
+++ b/src/process/home.ipp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "process/home.hpp"
+#include "process/retry_time.hpp"
 #include "request/await_reply.hpp"
 #include "version/index_version.hpp"
 #include "version/service.hpp"
@@ -111,6 +112,15 @@
 home<Runtime, Transport>::run_started(request_id id, caller_request request,
                                       time_point deadline)
 {
+    auto place = co_await this->admit(request, deadline);
+    if (!place)
+    {
+        query_answer refused =
+            this->plain(id, request, result_code::overloaded);
+        refused.retry_after = spread_retry(this->shared->clockwork);
+        this->settle(request, refused);
+        co_return refused;
+    }
     const auto replies = this->shared->router.open(id, this->shared->clockwork);
     query_answer answer =
         this->plain(id, request, result_code::outcome_unknown);
@@ -138,6 +148,26 @@
     co_return answer;
 }
 
+// Waits for a place among the requests of the service in progress.
+template <runtime Runtime, peer_transport Transport>
+boost::asio::awaitable<std::optional<
+    typename home<Runtime, Transport>::context::gate_type::ticket>>
+home<Runtime, Transport>::admit(const caller_request& request,
+                                time_point deadline)
+{
+    const auto state = this->shared->state();
+    const request_class* const owner =
+        state->configuration
+            ? state->configuration->find_class(request.request_class)
+            : nullptr;
+    const auto patience = std::chrono::duration_cast<microseconds>(
+        request.budget * admission_share);
+    const time_point until =
+        std::min(deadline, Runtime::clock::now() + patience);
+    co_return co_await this->shared->gate(request.service)
+        ->enter(owner == nullptr ? worth(0.0) : owner->value, until);
+}
+
 // Waits until another request with the same key has finished.
 template <runtime Runtime, peer_transport Transport>
 boost::asio::awaitable<query_answer>
--- a/src/request/query_session.ipp
+++ b/src/request/query_session.ipp
@@ -1,7 +1,7 @@
 /// Definitions of query_session; included where it is instantiated.
 #pragma once
 
-#include "process/log.hpp"
+#include "process/retry_time.hpp"
 #include "request/query_session.hpp"
 #include "version/index_version.hpp"
 #include "version/version_choice.hpp"
@@ -33,13 +33,6 @@
 /// left.
 inline constexpr double restart_budget_share = 0.4;
 
-/// Share of its budget that a request waits for admission.
-inline constexpr double admission_share = 0.15;
-
-/// When a request that was refused for overload should come back.
-inline constexpr milliseconds retry_least{500};
-inline constexpr std::uint64_t retry_spread_ms = 1'000;
-
 /// Shards on which a query that is not proven may be tried.
 inline constexpr std::size_t canary_shards = 3;
 
@@ -76,7 +69,7 @@
     const request_class* const owner =
         this->state->configuration->find_class(this->request.request_class);
     const auto patience = std::chrono::duration_cast<microseconds>(
-        this->request.budget * query_limits::admission_share);
+        this->request.budget * admission_share);
     auto place = co_await this->shared->gate(this->request.service)
                      ->enter(owner == nullptr ? worth(0.0) : owner->value,
                              this->arrived + patience);
@@ -159,9 +152,7 @@
 {
     auto refused = this->refusal(result_code::overloaded,
                                  "requests of more worth take all places");
-    refused.retry_after = query_limits::retry_least +
-                          milliseconds(this->shared->clockwork.random() %
-                                       query_limits::retry_spread_ms);
+    refused.retry_after = spread_retry(this->shared->clockwork);
     return refused;
 }
 
