--- a/bench/load/load_run.cpp
+++ b/bench/load/load_run.cpp
@@ -1,9 +1,11 @@
 #include "load/load_run.hpp"
 
 #include "load/control_channel.hpp"
+#include "load/direct_worker.hpp"
 #include "load/load_plan.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <thread>
 
@@ -13,6 +15,8 @@
 namespace
 {
 
+using time_point = std::chrono::steady_clock::time_point;
+
 // Time for all threads to come to the start together.
 constexpr milliseconds start_delay{50};
 
@@ -28,33 +32,21 @@
     return shares;
 }
 
-} // namespace
-
-run_record run_load(const load_plan& plan, const caller_options& options,
-                    std::size_t threads, const std::string& control)
+// Runs all workers at the same time, and `meanwhile` beside them.
+template <class Worker>
+run_record run_workers(const std::vector<std::unique_ptr<Worker>>& workers,
+                       const std::function<void(time_point)>& meanwhile)
 {
-    std::vector<std::unique_ptr<load_worker>> workers;
-    for (auto& share : deal(make_arrivals(plan), threads))
-    {
-        const std::uint64_t seed = plan.seed + workers.size() * options.callers;
-        workers.push_back(std::make_unique<load_worker>(
-            plan, options, std::move(share), seed));
-    }
     std::ranges::for_each(workers,
                           [](const auto& worker) { worker->prepare(); });
     const auto start = std::chrono::steady_clock::now() + start_delay;
     std::vector<std::jthread> running;
-    running.reserve(workers.size() + 1);
+    running.reserve(workers.size());
     for (const auto& worker : workers)
     {
         running.emplace_back([&worker, start] { worker->run(start); });
     }
-    if (!control.empty())
-    {
-        running.emplace_back(
-            [&plan, &control, start]
-            { control_channel(control).run_actions(plan.actions, start); });
-    }
+    meanwhile(start);
     running.clear();
     run_record record;
     record.start =
@@ -68,4 +60,39 @@
     return record;
 }
 
+} // namespace
+
+run_record run_load(const load_plan& plan, const caller_options& options,
+                    std::size_t threads, const std::string& control)
+{
+    std::vector<std::unique_ptr<load_worker>> workers;
+    for (auto& share : deal(make_arrivals(plan), threads))
+    {
+        const std::uint64_t seed = plan.seed + workers.size() * options.callers;
+        workers.push_back(std::make_unique<load_worker>(
+            plan, options, std::move(share), seed));
+    }
+    const auto act = [&plan, &control](time_point start)
+    {
+        if (!control.empty())
+        {
+            control_channel(control).run_actions(plan.actions, start);
+        }
+    };
+    return run_workers(workers, act);
+}
+
+run_record run_direct(const load_plan& plan, const document& configuration,
+                      const target_list& targets, std::size_t threads)
+{
+    std::vector<std::unique_ptr<direct_worker>> workers;
+    for (auto& share : deal(make_arrivals(plan), threads))
+    {
+        const std::uint64_t seed = plan.seed + workers.size();
+        workers.push_back(std::make_unique<direct_worker>(
+            plan, configuration, targets, std::move(share), seed));
+    }
+    return run_workers(workers, [](time_point) {});
+}
+
 } // namespace basilpath::load
--- a/bench/load/load_run.hpp
+++ b/bench/load/load_run.hpp
@@ -7,6 +7,12 @@
 #include <memory>
 #include <vector>
 
+namespace basilpath
+{
+struct document;
+struct target_list;
+} // namespace basilpath
+
 namespace basilpath::load
 {
 
@@ -20,6 +26,14 @@
     microseconds start{0};
 };
 
+/// Runs a plan with the leaves called directly, as by a caller that knows them
+/// all and picks replicas at random: what basilpath's own cost and its policies
+/// are compared with.
+[[nodiscard]] run_record run_direct(const load_plan& plan,
+                                    const document& configuration,
+                                    const target_list& targets,
+                                    std::size_t threads);
+
 /// Runs a plan from `threads` threads; blocks until every request has ended.
 /// Actions of the plan are posted to the stand-in at `control`, an address or
 /// empty.
--- a/bench/load/load_worker.cpp
+++ b/bench/load/load_worker.cpp
@@ -33,8 +33,8 @@
 
 load_worker::load_worker(const load_plan& plan, const caller_options& options,
                          std::vector<arrival> arrivals, std::uint64_t seed)
-    : plan(plan), options(options), arrivals(std::move(arrivals)),
-      client(this->context)
+    : plan(plan), options(options),
+      arrivals(this->context, std::move(arrivals)), client(this->context)
 {
     for (std::size_t caller = 0; caller < options.callers; ++caller)
     {
@@ -54,12 +54,9 @@
     this->context.restart();
 }
 
-void load_worker::run(time_point start)
+void load_worker::run(std::chrono::steady_clock::time_point start)
 {
-    this->start_time = start;
-    boost::asio::co_spawn(this->context, this->send_all(),
-                          boost::asio::detached);
-    this->context.run();
+    this->arrivals.run(start, [this](const arrival& one) { this->start(one); });
 }
 
 const std::vector<std::shared_ptr<request_outcome>>&
@@ -73,18 +70,6 @@
     return this->not_sent;
 }
 
-// Waits for each arrival in turn and starts it.
-boost::asio::awaitable<void> load_worker::send_all()
-{
-    boost::asio::steady_timer timer(this->context);
-    for (const arrival& one : this->arrivals)
-    {
-        timer.expires_at(this->start_time + one.at);
-        co_await timer.async_wait(boost::asio::use_awaitable);
-        this->start(one);
-    }
-}
-
 // Starts a request, and its resend when the caller makes one.
 void load_worker::start(const arrival& one)
 {
@@ -119,13 +104,13 @@
 load_worker::send_once(std::shared_ptr<request_state> request, microseconds at)
 {
     ++this->in_progress;
-    boost::asio::steady_timer timer(this->context, this->start_time + at);
+    boost::asio::steady_timer timer(this->context, this->arrivals.time_of(at));
     co_await timer.async_wait(boost::asio::use_awaitable);
     request_outcome& outcome = *request->outcome;
     std::string host = request->directory->pick(request->first_host);
     if (outcome.sends == 0)
     {
-        outcome.sent_late = this->elapsed() - at;
+        outcome.sent_late = this->arrivals.elapsed() - at;
         request->first_host = host;
     }
     const microseconds end =
@@ -133,7 +118,7 @@
     for (int left = tries_at_other_hosts; left > 0; --left)
     {
         const auto rest =
-            std::chrono::ceil<milliseconds>(end - this->elapsed());
+            std::chrono::ceil<milliseconds>(end - this->arrivals.elapsed());
         if (rest <= milliseconds(0))
         {
             break;
@@ -165,18 +150,12 @@
     const http_reply reply = co_await this->client.send(std::move(sent));
     caller_answer answer =
         read_entry_reply(reply, this->mix_of(request), subject);
-    answer.received = this->elapsed();
+    answer.received = this->arrivals.elapsed();
     answer.host = host;
     answer.asked = name;
     co_return answer;
 }
 
-microseconds load_worker::elapsed() const
-{
-    return std::chrono::duration_cast<microseconds>(
-        std::chrono::steady_clock::now() - this->start_time);
-}
-
 const traffic_mix& load_worker::mix_of(const request_state& request) const
 {
     return this->plan.mixes[request.outcome->scheduled.mix];
--- a/bench/load/load_worker.hpp
+++ b/bench/load/load_worker.hpp
@@ -3,12 +3,14 @@
 
 #include "connection/http_client.hpp"
 #include "load/caller_directory.hpp"
+#include "load/paced_arrivals.hpp"
 #include "load/request_outcome.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -56,8 +58,6 @@
     [[nodiscard]] std::size_t unsent() const;
 
 private:
-    using time_point = std::chrono::steady_clock::time_point;
-
     /// A request with the caller that makes it.
     struct request_state
     {
@@ -67,7 +67,6 @@
         std::string first_host;
     };
 
-    boost::asio::awaitable<void> send_all();
     boost::asio::awaitable<void>
     send_once(std::shared_ptr<request_state> request, microseconds at);
     boost::asio::awaitable<caller_answer> ask(const request_state& request,
@@ -75,17 +74,15 @@
                                               const std::string& name,
                                               milliseconds deadline);
     void start(const arrival& one);
-    [[nodiscard]] microseconds elapsed() const;
     [[nodiscard]] const traffic_mix& mix_of(const request_state& request) const;
 
     const load_plan& plan;
     caller_options options;
-    std::vector<arrival> arrivals;
     boost::asio::io_context context{1};
+    paced_arrivals arrivals;
     http_client client;
     std::vector<std::shared_ptr<caller_directory>> directories;
     std::vector<std::shared_ptr<request_outcome>> finished;
-    time_point start_time;
     std::size_t in_progress = 0;
     std::size_t not_sent = 0;
 };
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -8,6 +8,7 @@
 #include "process/log.hpp"
 #include "process/settings.hpp"
 #include "version/document.hpp"
+#include "version/target_list.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -36,6 +37,7 @@
 DEFINE_uint32(threads, 1, "event-loop threads");
 DEFINE_uint32(callers, 4, "callers of each thread, each with a directory");
 DEFINE_string(control, "", "ip:port of the stand-in's control interface");
+DEFINE_bool(direct, false, "call the leaves, not the entry hosts");
 DEFINE_string(results, "", "file that gets the figures as JSON");
 DEFINE_bool(show, false, "send one request, print the answer and stop");
 
@@ -146,8 +148,11 @@
                   {{"control", FLAGS_control}});
         std::exit(exit_usage);
     }
+    const auto targets = read_published_targets(channel);
     const run_record record =
-        run_load(plan, options, FLAGS_threads, FLAGS_control);
+        FLAGS_direct && targets
+            ? run_direct(plan, *before, *targets, FLAGS_threads)
+            : run_load(plan, options, FLAGS_threads, FLAGS_control);
     std::this_thread::sleep_for(settle_time);
     const auto seen = read_record(channel, record.start);
     const auto after = read_published_document(channel);
--- a/bench/load/standin_view.cpp
+++ b/bench/load/standin_view.cpp
@@ -3,6 +3,7 @@
 #include "version/document.hpp"
 #include "version/document_parser.hpp"
 #include "version/index_version.hpp"
+#include "version/target_list.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -15,6 +16,19 @@
 
 constexpr int http_ok = 200;
 
+// Reads a value of the platform; nothing when there is none.
+std::optional<std::string> read_value(control_channel& channel,
+                                      const std::string& name)
+{
+    const http_reply reply = channel.send("GET", "/v1/values/" + name);
+    const std::size_t first_line = reply.body.find('\n');
+    if (reply.status != http_ok || first_line == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    return reply.body.substr(first_line + 1);
+}
+
 } // namespace
 
 bool reset_records(control_channel& channel)
@@ -25,14 +39,16 @@
 std::shared_ptr<const document>
 read_published_document(control_channel& channel)
 {
-    const http_reply reply = channel.send("GET", "/v1/values/document");
-    const std::size_t first_line = reply.body.find('\n');
-    if (reply.status != http_ok || first_line == std::string::npos)
-    {
-        return nullptr;
-    }
-    return parse_document(std::string_view(reply.body).substr(first_line + 1))
-        .value;
+    const auto bytes = read_value(channel, "document");
+    return bytes ? parse_document(*bytes).value : nullptr;
+}
+
+std::shared_ptr<const target_list>
+read_published_targets(control_channel& channel)
+{
+    const auto bytes = read_value(channel, "targets");
+    std::string reason;
+    return bytes ? parse_target_list(*bytes, &reason) : nullptr;
 }
 
 std::optional<target_record> read_record(control_channel& channel,
--- a/bench/load/standin_view.hpp
+++ b/bench/load/standin_view.hpp
@@ -11,7 +11,8 @@
 namespace basilpath
 {
 struct document;
-}
+struct target_list;
+} // namespace basilpath
 
 namespace basilpath::load
 {
@@ -23,6 +24,10 @@
 [[nodiscard]] std::shared_ptr<const document>
 read_published_document(control_channel& channel);
 
+/// The target list that the platform publishes; null when there is none.
+[[nodiscard]] std::shared_ptr<const target_list>
+read_published_targets(control_channel& channel);
+
 /// The record of a run that began at `start`; nothing when it cannot be had.
 [[nodiscard]] std::optional<target_record> read_record(control_channel& channel,
                                                        microseconds start);
--- a/bench/standin/execution_log.cpp
+++ b/bench/standin/execution_log.cpp
@@ -8,9 +8,12 @@
     ++this->by_key[key].received;
 }
 
-std::uint64_t execution_log::start(const std::string& key)
+std::uint64_t execution_log::start(const std::string& key,
+                                   std::chrono::steady_clock::time_point now)
 {
-    return ++this->by_key[key].started;
+    execution& one = this->by_key[key];
+    one.first_start = one.first_start.value_or(now);
+    return ++one.started;
 }
 
 void execution_log::finish(const std::string& key)
--- a/bench/standin/record_report.cpp
+++ b/bench/standin/record_report.cpp
@@ -45,10 +45,19 @@
 
 json report_execution(const std::string& key, const execution& seen)
 {
-    return json{{"key", key},
-                {"received", seen.received},
-                {"count", seen.started},
-                {"finished", seen.finished}};
+    json one{{"key", key},
+             {"received", seen.received},
+             {"count", seen.started},
+             {"finished", seen.finished},
+             {"first_start_us", nullptr}};
+    if (seen.first_start)
+    {
+        one["first_start_us"] =
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                seen.first_start->time_since_epoch())
+                .count();
+    }
+    return one;
 }
 
 } // namespace
--- a/bench/standin/target_leaf.cpp
+++ b/bench/standin/target_leaf.cpp
@@ -271,7 +271,8 @@
     ++this->counters().started;
     if (job->request.execute)
     {
-        job->run = this->executions->start(job->request.key);
+        job->run = this->executions->start(job->request.key,
+                                           std::chrono::steady_clock::now());
     }
     const bool crashes =
         job->request.poison && this->strikes(fault_kind::crash_on_mark);
--- /dev/null
+++ b/scripts/experiment_plans.py
@@ -0,0 +1,168 @@
+"""The experiments that scripts/experiment knows.
+
+Each names its deployment, hosts, plan of load (see bench/load/load_plan.hpp),
+settings of the fleet, arms and the figures that are shown. Capacities at a
+service time of 4 ms (median, spread 0.4; mean 4.33 ms): catalogue 2 leaves of
+2 slots a shard, 923 queries a second; order-desk 7 leaves of 4 slots, 6,460.
+"""
+
+LOOKUP = """
+[load]
+duration_ms = 6000
+warm_up_ms = 1000
+[mix record]
+service = order-desk
+class = supplier-record
+worth = 5
+rate = 200
+deadline_ms = 500
+"""
+
+BROWSE = """
+[load]
+duration_ms = 8000
+warm_up_ms = 2000
+[mix browse]
+service = catalogue
+class = browse
+worth = 1
+rate = {browse}
+deadline_ms = 400
+repeat_share = 0.2
+[mix stock-check]
+service = catalogue
+class = stock-check
+worth = 10
+rate = {stock}
+deadline_ms = 400
+"""
+
+SLOW_TENTH = """
+[action slow]
+at_ms = 0
+path = /standin/fault
+body = {"service":"catalogue","share":0.1,"seed":3,"kind":"slow","factor":10}
+"""
+
+MIXED = """
+[load]
+duration_ms = 8000
+warm_up_ms = 1000
+[mix stock-check]
+service = catalogue
+class = stock-check
+worth = 10
+rate = 60
+deadline_ms = 400
+repeat_share = 0.2
+[mix order]
+service = order-desk
+class = supplier-order
+worth = 20
+rate = 60
+deadline_ms = 1000
+execute = yes
+resend_share = 0.3
+resend_after_ms = 15
+"""
+
+STEADY = ["run/browse/p50_ms", "run/browse/p99_ms", "run/browse/p999_ms",
+          "run/stock-check/p50_ms", "run/stock-check/p99_ms", "run/browse/coverage",
+          "run/worth_served", "extra_load", "run/sent_late_p99_ms", "processor_s/relay",
+          "processor_s/entry"]
+CREST = ["crest/browse/served", "crest/stock-check/served", "crest/stock-check/refused",
+         "crest/worth_served", "crest/of_oracle", "run/of_oracle", "crest/stock-check/p99_ms",
+         "run/sent_late_p99_ms"]
+UNDER_FAULT = ["run/stock-check/coverage", "run/stock-check/p99_ms", "run/stock-check/served",
+               "run/order/served", "run/order/failed", "run/worth_served", "extra_load"]
+
+
+def fault(at_ms, body, name="fault"):
+    """An action that posts a fault to the stand-in."""
+    return f"[action {name}{at_ms}]\nat_ms = {at_ms}\npath = /standin/fault\nbody = {body}\n"
+
+
+FAULTS = {
+    "slow": {"plan": fault(2000, '{"share":0.1,"seed":3,"kind":"slow","factor":10}')},
+    "silent": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"drop_silently"}')},
+    "drop": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"drop_connection","chance":0.1}')},
+    "crash": {"plan": fault(2000, '{"share":0.1,"seed":7,"kind":"crash","for_ms":1000}')},
+    "busy": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"busy","chance":0.5}')},
+    "garbage": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"garbage","chance":0.2}')},
+    "wrong-echo": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"wrong_echo","chance":0.2}')},
+    "wrong-version": {"plan": fault(
+        2000, '{"share":0.2,"seed":5,"kind":"wrong_version","chance":0.2}')},
+    "drain": {"plan": fault(2000, '{"share":0.1,"seed":9,"kind":"drain"}')},
+    "platform-down": {"plan": "[action down]\nat_ms = 1500\npath = /standin/platform\n"
+                              'body = {"mode":"down"}\n'},
+    "relay-killed": {"signals": [(3500, "relay-host-2", "KILL")]},
+    "relay-paused": {"signals": [(3500, "relay-host-2", "STOP"), (5500, "relay-host-2", "CONT")]},
+    "entry-killed": {"signals": [(3500, "entry-host-2", "KILL")]},
+    "entry-paused": {"signals": [(3500, "entry-host-2", "STOP"), (5500, "entry-host-2", "CONT")]},
+    "agent-killed": {"signals": [(3500, "agent-host-1", "KILL")]},
+}
+
+
+def pair(first, second):
+    """Two faults in one run."""
+    one, other = FAULTS[first], FAULTS[second]
+    return {"plan": one.get("plan", "") + other.get("plan", "").replace("[action ", "[action b"),
+            "signals": sorted(one.get("signals", []) + other.get("signals", []))}
+
+
+PAIRS = [("slow", "relay-killed"), ("silent", "relay-paused"), ("crash", "entry-killed"),
+         ("wrong-version", "relay-paused"), ("drop", "entry-paused"),
+         ("platform-down", "relay-killed"), ("drain", "platform-down"), ("busy", "slow")]
+
+EXPERIMENTS = {
+    "added-latency": {
+        "about": "Latency that basilpath adds to one look-up without load.",
+        "deployment": "prairie-grit", "hosts": 2, "plan": LOOKUP,
+        "arms": {"direct": {"load": ["--direct"]}, "basilpath": {},
+                 "no-gathering": {"set": ["relay:policy.gather_us=0"]}},
+        "show": ["run/record/p50_ms", "run/record/p99_ms", "run/record/coverage",
+                 "run/sent_late_p99_ms", "processor_s/entry", "processor_s/relay"]},
+    "slowed-leaves": {
+        "about": "Tail of fan-outs with none and with a tenth of the leaves ten times slower.",
+        "deployment": "prairie-grit", "hosts": 3, "plan": BROWSE.format(browse=60, stock=20),
+        "arms": {"none-slowed": {},
+                 "slowed": {"plan": SLOW_TENTH},
+                 "no-hedge": {"plan": SLOW_TENTH, "set": ["relay:policy.hedge=off"]},
+                 "no-put-aside": {"plan": SLOW_TENTH, "set": ["relay:policy.put_aside=off"]},
+                 "neither": {"plan": SLOW_TENTH, "set": ["relay:policy.hedge=off",
+                                                         "relay:policy.put_aside=off"]},
+                 "direct": {"plan": SLOW_TENTH, "load": ["--direct"]}},
+        "show": STEADY},
+    "swing": {
+        "about": "From half to twice the capacity within a second and back; 20 ms service time "
+                 "(184 queries a second).",
+        "deployment": "prairie-grit", "hosts": 3, "standin": ["--service_ms=20"],
+        "plan": BROWSE.format(browse=74, stock=18) + """
+[targets]
+service_ms = 20
+[bounds]
+oracle_share = 0.95
+worthiest_refused = 0
+[step a]
+at_ms = 3000
+factor = 2.5
+[step b]
+at_ms = 3500
+factor = 4
+[step c]
+at_ms = 6000
+factor = 1
+[window crest]
+from_ms = 3500
+until_ms = 6000
+""",
+        "arms": {"basilpath": {}, "direct": {"load": ["--direct"]}},
+        "show": CREST},
+    "faults": {
+        "about": "Every fault alone.", "deployment": "prairie-grit", "hosts": 3, "plan": MIXED,
+        "arms": {"none": {}, **FAULTS}, "show": UNDER_FAULT},
+    "fault-pairs": {
+        "about": "Faults two at a time.", "deployment": "prairie-grit", "hosts": 3, "plan": MIXED,
+        "arms": {f"{one}+{other}": pair(one, other) for one, other in PAIRS},
+        "show": UNDER_FAULT},
+}
--- a/test/standin_decisions_test.cpp
+++ b/test/standin_decisions_test.cpp
@@ -135,8 +135,10 @@
     execution_log log;
     log.receive("k");
     log.receive("k");
-    CHECK(log.start("k") == 1);
-    CHECK(log.start("k") == 2);
+    const std::chrono::steady_clock::time_point first{1s};
+    CHECK(log.start("k", first) == 1);
+    CHECK(log.start("k", first + 1s) == 2);
+    CHECK(log.entries().at("k").first_start == first);
     log.finish("k");
     CHECK(log.entries().at("k").received == 2);
     CHECK(log.entries().at("k").finished == 1);
