--- a/bench/standin/target_leaf.cpp
+++ b/bench/standin/target_leaf.cpp
@@ -2,6 +2,7 @@
 
 #include "process/log.hpp"
 #include "standin/leaf_job.hpp"
+#include "standin/reply_faults.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,23 +25,12 @@
 constexpr auto crash_delay = 1ms;
 constexpr auto stall_poll = 2ms;
 constexpr auto duplicate_delay = 5ms;
-constexpr const char* garbage_bytes = "\x01\x02 not HTTP \xFF\r\n\r\n";
 
 std::string error_body(const char* error)
 {
     return fmt::format("{{\"error\":\"{}\"}}", error);
 }
 
-// Returns a response as it travels, with only `share` of its body.
-std::string raw_response(const std::string& body, double share)
-{
-    const auto length =
-        static_cast<std::size_t>(static_cast<double>(body.size()) * share);
-    return fmt::format("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                       "Content-Length: {}\r\n\r\n{}",
-                       body.size(), body.substr(0, length));
-}
-
 } // namespace
 
 target_leaf::target_leaf(boost::asio::io_context& context,
@@ -51,7 +41,8 @@
       items(items), executions(std::move(executions)),
       generator(options.seed ^ std::hash<leaf_id>{}(this->about.id)),
       service_times(options, this->generator()),
-      slots(this->about.slots, options.queue_limit)
+      slots(this->about.slots, options.queue_limit),
+      told_load(options.report_lag)
 {
 }
 
@@ -149,18 +140,9 @@
 // Tells the load as it was some time ago, or none at all when it lies.
 void target_leaf::report(leaf_call& call)
 {
-    const auto now = clock::now();
-    if (this->reported.empty() ||
-        now - this->reported_at >= this->options.report_lag)
-    {
-        this->reported_at = now;
-        this->reported =
-            fmt::format("{{\"in_use\":{},\"queued\":{}}}",
-                        this->slots.running(), this->slots.waiting());
-    }
     call.answer(200, this->strikes(fault_kind::lying_load)
                          ? R"({"in_use":0,"queued":0})"
-                         : this->reported);
+                         : this->told_load.text(this->slots, clock::now()));
 }
 
 // One request from its arrival to its answer.
@@ -322,28 +304,11 @@
     }
     const std::string body =
         make_reply(shown, this->about.id, this->items, job->run);
-    leaf_connection& connection = *job->call->connection;
-    if (this->strikes(fault_kind::drop_reply))
+    if (distort_reply(*job->call, body,
+                      [this](fault_kind kind) { return this->strikes(kind); }))
     {
         co_return;
     }
-    if (this->strikes(fault_kind::drop_connection))
-    {
-        connection.abort();
-        co_return;
-    }
-    if (this->strikes(fault_kind::garbage))
-    {
-        connection.send_raw(garbage_bytes);
-        connection.abort();
-        co_return;
-    }
-    if (this->strikes(fault_kind::truncate))
-    {
-        connection.send_raw(raw_response(body, 0.5));
-        connection.abort();
-        co_return;
-    }
     job->call->answer(200, body);
     if (this->strikes(fault_kind::late_duplicate))
     {
@@ -402,63 +367,6 @@
     return this->faults.strikes(kind, clock::now(), this->draw());
 }
 
-// Control.
-
-void target_leaf::configure(const leaf& description,
-                            const std::set<held_shard>& named)
-{
-    this->about = description;
-    this->slots.resize(description.slots);
-    if (this->endpoint)
-    {
-        this->endpoint->set_limit(description.connections);
-    }
-    const auto now = clock::now();
-    const bool first = this->holdings.empty();
-    const auto delay = std::chrono::duration_cast<clock::duration>(
-        this->options.switch_spread * this->draw());
-    this->holdings.assign(named, first ? now : now + delay,
-                          now + this->options.version_keep);
-}
-
-void target_leaf::add_fault(const fault& one)
-{
-    if (one.kind == fault_kind::crash)
-    {
-        const auto rest = one.end == clock::time_point::max()
-                              ? this->options.restart_time
-                              : std::chrono::ceil<std::chrono::milliseconds>(
-                                    one.end - clock::now());
-        this->crash(rest);
-        return;
-    }
-    if (one.kind == fault_kind::drop_silently)
-    {
-        this->endpoint->silence();
-        return;
-    }
-    this->faults.add(one);
-}
-
-void target_leaf::clear_faults()
-{
-    this->faults.clear();
-}
-
-void target_leaf::publish_leaving(bool leaving)
-{
-    if (leaving == this->counters().leaving_since.has_value())
-    {
-        return;
-    }
-    this->counters().leaving_since.reset();
-    this->counters().last_after_leaving.reset();
-    if (leaving)
-    {
-        this->counters().leaving_since = clock::now();
-    }
-}
-
 const leaf& target_leaf::description() const
 {
     return this->about;
--- a/bench/standin/target_leaf.hpp
+++ b/bench/standin/target_leaf.hpp
@@ -5,6 +5,7 @@
 #include "standin/fault_set.hpp"
 #include "standin/index_holdings.hpp"
 #include "standin/leaf_endpoint.hpp"
+#include "standin/load_report.hpp"
 #include "standin/options.hpp"
 #include "standin/service_time_model.hpp"
 #include "standin/slot_queue.hpp"
@@ -97,8 +98,7 @@
     fault_set faults;
     std::map<job_number, job_ptr> jobs;
     job_number last_job = 0;
-    clock::time_point reported_at{};
-    std::string reported;
+    load_report told_load;
 };
 
 } // namespace basilpath::standin
