Show the status of an entry to operators

Cause: basilpathctl status and show had nothing to read. Change: GET /v1/status with what is in force, since when, and the figures of admission; explain names our id and the caller's. No functional change to requests.

--- a/src/process/entry_server.cpp
+++ b/src/process/entry_server.cpp
@@ -89,6 +89,30 @@
     {
     }
 
+    // Time that has passed since a moment.
+    static milliseconds age(time_point since)
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            real_runtime::clock::now() - since);
+    }
+
+    // Notes when another document takes force.
+    void watch_document()
+    {
+        this->subscription.on_change(
+            [this](const std::shared_ptr<const system_state>& state)
+            {
+                const auto number = state->configuration
+                                        ? state->configuration->number
+                                        : document_number(0);
+                if (number != this->document_seen)
+                {
+                    this->document_seen = number;
+                    this->document_at = real_runtime::clock::now();
+                }
+            });
+    }
+
     // Hands a message of another process to whom it concerns.
     void receive(const peer_address& from, incarnation sender,
                  wire::Envelope message)
@@ -307,6 +331,9 @@
     entry_metrics metrics;
     http_server server;
     bool draining = false;
+    time_point started_at = real_runtime::clock::now();
+    time_point document_at = started_at;
+    document_number document_seen;
 };
 
 entry_server::entry_server(boost::asio::io_context& context,
@@ -319,6 +346,7 @@
 
 void entry_server::start()
 {
+    this->self->watch_document();
     this->self->subscription.start();
     boost::asio::co_spawn(this->self->context, this->self->exchange_loads(),
                           boost::asio::detached);
--- a/src/process/entry_views.cpp
+++ b/src/process/entry_views.cpp
@@ -3,6 +3,7 @@
 #include "connection/http_exchange.hpp"
 #include "process/directory.hpp"
 #include "process/home.ipp"
+#include "process/host_status.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -59,14 +60,37 @@
     {
         events.push_back({{"at_us", event.at.count()}, {"text", event.text}});
     }
-    const json answer = {{"id", trace->id.value},
-                         {"request", trace->caller_id},
+    const json answer = {{"request", trace->id.value},
+                         {"caller_request", trace->caller_id},
                          {"events", std::move(events)}};
     return json_answer(
         status_good,
         answer.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
+// Tells what is in force here and how much of it is in use.
+http_answer show_status(const entry_parts& parts, const http_exchange&)
+{
+    host_status status;
+    status.host = parts.shared.own_host.value;
+    status.uptime = parts.uptime;
+    status.document_age = parts.document_age;
+    status.draining = parts.draining;
+    status.in_flight = parts.in_flight;
+    fill_from_state(status, *parts.shared.state());
+    status.figures["load"] = parts.shared.used();
+    status.figures["outcomes_kept"] =
+        static_cast<double>(parts.own_home.remembered());
+    for (const auto& [name, gate] : parts.shared.gates)
+    {
+        status.figures["admission_limit " + name.value] =
+            static_cast<double>(gate->limit_now());
+        status.figures["admitted " + name.value] =
+            static_cast<double>(gate->admitted_now());
+    }
+    return json_answer(status_good, to_json(status).dump());
+}
+
 http_answer show_burn(const entry_parts& parts, const http_exchange&)
 {
     const auto now = std::chrono::duration_cast<microseconds>(
@@ -105,6 +129,7 @@
 
 constexpr auto views = std::to_array<known_view>({
     {"/v1/directory", show_directory},
+    {"/v1/status", show_status},
     {"/v1/burn", show_burn},
     {"/metrics", show_metrics},
     {"/healthz", show_health},
--- a/src/process/entry_views.hpp
+++ b/src/process/entry_views.hpp
@@ -27,11 +27,18 @@
     std::map<host_id, double> loads;
 
     bool draining = false;
+
+    /// Requests of callers in progress.
+    std::size_t in_flight = 0;
+
+    /// Time since the start of the process and since the document took force.
+    milliseconds uptime{0};
+    milliseconds document_age{0};
 };
 
-/// Answers a `GET` of `/v1/directory`, `/v1/explain/ID`, `/v1/burn`,
-/// `/metrics`, `/healthz` or `/readyz`; any other path with `unknown_path`,
-/// any other method with `method_not_allowed`.
+/// Answers a `GET` of `/v1/directory`, `/v1/status`, `/v1/explain/ID`,
+/// `/v1/burn`, `/metrics`, `/healthz` or `/readyz`; any other path with
+/// `unknown_path`, any other method with `method_not_allowed`.
 [[nodiscard]] http_answer show_view(const entry_parts& parts,
                                     const http_exchange& exchange);
 
