--- a/test/entry_fixture.hpp
+++ b/test/entry_fixture.hpp
@@ -89,8 +89,9 @@
 
     static constexpr std::size_t outcome_limit = 4;
 
-    /// Hosts h1 to h3, all leaves live, the small document in force.
-    static std::shared_ptr<system_state> make_state()
+    /// Hosts h1 to h3, all leaves live, the document in force.
+    static std::shared_ptr<system_state>
+    make_state(std::string_view text = small_document)
     {
         auto made = std::make_shared<system_state>();
         auto hosts = std::make_shared<host_list>();
@@ -104,7 +105,7 @@
             hosts->hosts.push_back(one);
         }
         made->hosts = hosts;
-        const parsed_document parsed = parse_document(small_document);
+        const parsed_document parsed = parse_document(text);
         for (const document_fault& fault : parsed.faults)
         {
             FAIL_CHECK(fault.line << ": " << fault.message);
@@ -119,6 +120,36 @@
         return made;
     }
 
+    /// Starts a request that may run at once; its answer goes into the record.
+    void start(const caller_request& request)
+    {
+        if (request.kind == request_kind::execute)
+        {
+            this->start_session(std::make_shared<execute>(
+                this->shared, this->own_home, request, virtual_clock::now()));
+            return;
+        }
+        this->shared->proven.add(request.print);
+        this->last_query = std::make_shared<query>(this->shared, request,
+                                                   virtual_clock::now());
+        this->start_session(this->last_query);
+    }
+
+    /// Runs a session; its answer goes into the record.
+    template <class Session>
+    void start_session(std::shared_ptr<Session> session)
+    {
+        boost::asio::co_spawn(
+            this->run.executor(),
+            [](entry_fixture* self,
+               std::shared_ptr<Session> one) -> boost::asio::awaitable<void>
+            {
+                const query_answer answer = co_await one->run();
+                self->peers.write("answer {}", to_json_text(answer));
+            }(this, std::move(session)),
+            boost::asio::detached);
+    }
+
     /// Starts a query; its answer goes into the record.
     void start_query(const std::string& body, bool proven = true)
     {
