Relay: quarantine, slow replicas, silent connections, pauses, at most once

Cause: the thin relay retried a request that crashes targets on every replica, starved or flooded slow replicas, forgot what a draining leaf told, sent a repeated request to execute's result as unknown, and took its own pauses for slowness of leaves. Change: one function runs every attempt and notes what its reply tells. Quarantine at the second leaf lost, with trials one at a time, re-runs alone on a leaf, and a new connection to tell a restart from a dropped connection. Replicas whose median is 2.5 times that of their best peer are put aside (at most half) and probed out of the hedge budget. Busy and lost leaves pause and ramp. Connections older than an unanswered request are replaced while new ones work. Samples across a pause are discarded. Results of requests to execute are kept and told again; a replica is chosen by fewest in progress, not by mean latency, which starved the slower of two equal replicas of samples. Tests: golden and focused sessions in virtual time. relay_execute_repeated.txt changes: a repeat gets the stored result in place of outcome_unknown.

--- a/src/connection/leaf_table.cpp
+++ b/src/connection/leaf_table.cpp
@@ -61,6 +61,9 @@
         const auto target = state.targets->entries.find(described.id);
         if (target != state.targets->entries.end())
         {
+            // A leaf that comes back at another address has been replaced.
+            one->draining =
+                one->draining && one->address == target->second.address;
             one->address = target->second.address;
             one->leaving = one->leaving || target->second.leaving;
         }
@@ -72,15 +75,6 @@
     this->leaves = std::move(next);
 }
 
-void leaf_table::mark_leaving(const leaf_id& id)
-{
-    const auto found = this->leaves.find(id);
-    if (found != this->leaves.end())
-    {
-        found->second->leaving = true;
-    }
-}
-
 std::vector<std::shared_ptr<leaf_state>>
 leaf_table::replicas(const shard& of) const
 {
@@ -89,7 +83,7 @@
     for (const leaf_id& id : of.leaves)
     {
         const auto one = this->leaves.find(id);
-        if (one != this->leaves.end() && !one->second->leaving &&
+        if (one != this->leaves.end() && one->second->open() &&
             !one->second->address.value.empty())
         {
             found.push_back(one->second);
--- a/src/connection/leaf_table.hpp
+++ b/src/connection/leaf_table.hpp
@@ -21,9 +21,6 @@
     /// Takes over limits, addresses and leaving marks of a new state.
     void apply(const system_state& state);
 
-    /// Marks a leaf that has told that it is draining.
-    void mark_leaving(const leaf_id& id);
-
     /// The leaves of a shard that have an address and are not leaving.
     [[nodiscard]] std::vector<std::shared_ptr<leaf_state>>
     replicas(const shard& of) const;
--- a/src/process/attempt_budget.hpp
+++ b/src/process/attempt_budget.hpp
@@ -11,10 +11,10 @@
 class attempt_budget
 {
 public:
-    /// `share` is the number of extra attempts each first attempt earns.
-    explicit attempt_budget(double share = 0.0) : share(share) {}
+    /// `start` extra attempts may be spent before any has been earned.
+    explicit attempt_budget(double start) : earned(start) {}
 
-    /// Changes the share; what has been earned stays.
+    /// Sets how many extra attempts each first attempt earns.
     void set_share(double wanted);
 
     /// Earns for one first attempt.
@@ -27,8 +27,8 @@
     [[nodiscard]] std::uint64_t spent() const;
 
 private:
-    double share;
-    double earned = 2.0;
+    double share = 0.0;
+    double earned;
     std::uint64_t taken = 0;
 };
 
--- /dev/null
+++ b/src/process/quarantine_table.cpp
@@ -0,0 +1,157 @@
+#include "process/quarantine_table.hpp"
+
+#include <algorithm>
+
+namespace basilpath
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t proven_limit = 100'000;
+constexpr std::size_t record_limit = 10'000;
+constexpr microseconds quarantine_time = 60s;
+
+/// A fingerprint stays a suspect for as long after its last strike.
+constexpr microseconds suspicion_time = 60s;
+
+/// Two losses of one leaf this close together are one crash.
+constexpr microseconds same_crash_time = 1s;
+
+constexpr std::size_t strikes_allowed = 1;
+
+} // namespace
+
+quarantine_table::quarantine_table() : proven(proven_limit) {}
+
+standing quarantine_table::look_up(fingerprint print, instant now)
+{
+    const auto found = this->records.find(print);
+    if (found != this->records.end())
+    {
+        const record& known = found->second;
+        if (known.until && now < *known.until)
+        {
+            return standing::quarantined;
+        }
+        if (!known.until && now - known.last < suspicion_time)
+        {
+            return standing::suspect;
+        }
+        this->records.erase(found);
+    }
+    return print.value == 0 || this->proven.contains(print) ? standing::proven
+                                                            : standing::unknown;
+}
+
+void quarantine_table::note_served(fingerprint print)
+{
+    const auto found = this->records.find(print);
+    if (found != this->records.end() && found->second.until)
+    {
+        return;
+    }
+    if (found != this->records.end())
+    {
+        this->records.erase(found);
+    }
+    this->proven.add(print);
+}
+
+standing quarantine_table::note_crash(fingerprint print, const leaf_id& leaf,
+                                      instant now, standing sent_as)
+{
+    if (print.value == 0)
+    {
+        return standing::proven;
+    }
+    this->proven.remove(print);
+    this->make_room(now);
+    record& known = this->records[print];
+    const bool counted = std::ranges::any_of(
+        known.strikes, [&](const strike& one)
+        { return one.leaf == leaf && now - one.at < same_crash_time; });
+    const bool first = known.strikes.empty();
+    if (!counted && (first || sent_as != standing::proven))
+    {
+        known.strikes.push_back({leaf, now});
+        known.last = now;
+    }
+    if (!known.until && known.strikes.size() > strikes_allowed)
+    {
+        known.until = now + quarantine_time;
+    }
+    return known.until ? standing::quarantined : standing::suspect;
+}
+
+void quarantine_table::merge(fingerprint print, instant until)
+{
+    record& known = this->records[print];
+    known.until = std::max(known.until.value_or(until), until);
+    this->proven.remove(print);
+}
+
+bool quarantine_table::begin_trial(fingerprint print)
+{
+    if (std::ranges::find(this->trials, print) != this->trials.end())
+    {
+        return false;
+    }
+    this->trials.push_back(print);
+    return true;
+}
+
+void quarantine_table::end_trial(fingerprint print)
+{
+    std::erase(this->trials, print);
+}
+
+quarantine quarantine_table::describe(fingerprint print, instant now) const
+{
+    quarantine told{print, {}, microseconds(0)};
+    const auto found = this->records.find(print);
+    if (found == this->records.end() || !found->second.until)
+    {
+        return told;
+    }
+    told.remaining = std::max(microseconds(0), *found->second.until - now);
+    std::ranges::transform(found->second.strikes,
+                           std::back_inserter(told.leaves), &strike::leaf);
+    return told;
+}
+
+std::size_t quarantine_table::size(instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->records, [now](const auto& entry)
+        { return entry.second.until && now < *entry.second.until; }));
+}
+
+// Forgets what has ended when the table is full, and if nothing has, the
+// oldest suspect.
+void quarantine_table::make_room(instant now)
+{
+    if (this->records.size() < record_limit)
+    {
+        return;
+    }
+    std::erase_if(this->records,
+                  [now](const auto& entry)
+                  {
+                      const record& one = entry.second;
+                      return one.until ? now >= *one.until
+                                       : now - one.last >= suspicion_time;
+                  });
+    while (this->records.size() >= record_limit)
+    {
+        const auto oldest = std::ranges::min_element(
+            this->records, {},
+            [](const auto& entry)
+            { return entry.second.until.value_or(entry.second.last); });
+        this->records.erase(oldest);
+    }
+}
+
+} // namespace basilpath
--- a/src/process/relay.hpp
+++ b/src/process/relay.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "connection/peer_hub.hpp"
-#include "process/recent_requests.hpp"
+#include "process/execute_table.hpp"
 #include "process/relay_context.hpp"
 #include "request/leaf_execute_session.hpp"
 #include "request/shard_query_session.hpp"
@@ -22,6 +22,9 @@
     relay(Runtime& owner, Transport& transport, Peers& peers,
           const relay_policy& policy);
 
+    /// Starts the tasks that run as long as the process.
+    void start();
+
     /// Takes over a new state of the system.
     void apply(const std::shared_ptr<const system_state>& state);
 
@@ -44,13 +47,17 @@
     boost::asio::awaitable<void> run_query(std::shared_ptr<query_session> one,
                                            request_id name);
     void start_execute(const peer_address& from, wire::LeafExecute request);
-    boost::asio::awaitable<void> run_execute(std::shared_ptr<execution> one);
+    boost::asio::awaitable<void> run_execute(std::shared_ptr<execution> one,
+                                             peer_address from);
+    void answer(const peer_address& to, const wire::LeafExecuteResult& result);
+    void note_time();
+    boost::asio::awaitable<void> watch_pauses();
     void refuse(const peer_address& from, const wire::ShardQuery& query,
                 result_code code);
 
     Peers& peers;
     std::unordered_multimap<request_id, std::weak_ptr<query_session>> queries;
-    recent_requests executed;
+    execute_table executed;
     std::size_t sessions = 0;
     bool leaving = false;
 };
--- a/src/process/relay.ipp
+++ b/src/process/relay.ipp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "process/log.hpp"
 #include "process/system_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace basilpath
@@ -10,11 +12,20 @@
 namespace relay_limits
 {
 
+inline constexpr std::chrono::milliseconds pause_check_interval{20};
+
 /// Requests to execute that are remembered so that none runs twice.
 inline constexpr std::size_t remembered_executes = 100'000;
 
 } // namespace relay_limits
 
+// What is left of a budget when the message has been this long on the way.
+inline std::uint64_t budget_after(std::uint64_t budget_us,
+                                  std::uint64_t delay_us)
+{
+    return budget_us - std::min(budget_us, delay_us);
+}
+
 template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
 relay<Runtime, Transport, Peers>::relay(Runtime& owner, Transport& transport,
                                         Peers& peers,
@@ -24,12 +35,30 @@
 {
 }
 
+template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
+void relay<Runtime, Transport, Peers>::start()
+{
+    boost::asio::co_spawn(this->context.owner.executor(), this->watch_pauses(),
+                          boost::asio::detached);
+}
+
 template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
 void relay<Runtime, Transport, Peers>::apply(
     const std::shared_ptr<const system_state>& state)
 {
     this->context.state = state;
     this->context.leaves.apply(*this->context.state);
+    for (const auto& [id, leaf] : this->context.leaves.all())
+    {
+        if (!leaf->open())
+        {
+            this->context.slots->close(leaf);
+        }
+    }
+    for (const auto& [print, until] : state->quarantines)
+    {
+        this->context.quarantines.merge(print, to_instant(until));
+    }
     if (!this->context.state->configuration)
     {
         return;
@@ -46,13 +75,18 @@
 void relay<Runtime, Transport, Peers>::receive(const peer_address& from,
                                                wire::Envelope message)
 {
+    const std::uint64_t delay = message.delay_us();
     if (message.has_shard_query())
     {
-        this->start_query(from, std::move(*message.mutable_shard_query()));
+        wire::ShardQuery& query = *message.mutable_shard_query();
+        query.set_budget_us(budget_after(query.budget_us(), delay));
+        this->start_query(from, std::move(query));
     }
     else if (message.has_leaf_execute())
     {
-        this->start_execute(from, std::move(*message.mutable_leaf_execute()));
+        wire::LeafExecute& request = *message.mutable_leaf_execute();
+        request.set_budget_us(budget_after(request.budget_us(), delay));
+        this->start_execute(from, std::move(request));
     }
     else if (message.has_cancel_query())
     {
@@ -120,43 +154,83 @@
     }
 }
 
-// Starts a request to execute, unless it is known: then it is not run again.
+// Starts a request to execute. One that is known is not run again: its result
+// is told again, or will be told when it has ended.
 template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
 void relay<Runtime, Transport, Peers>::start_execute(const peer_address& from,
                                                      wire::LeafExecute request)
 {
-    const auto answer = [this, from](wire::Envelope reply)
+    const request_id name(request.request());
+    if (const auto known = this->executed.find(name))
+    {
+        this->answer(from, *known);
+        return;
+    }
+    if (this->leaving)
     {
-        this->peers.send(from, std::move(reply));
-    };
-    const bool known =
-        !this->leaving && !this->executed.add(request_id(request.request()));
-    if (this->leaving || known)
+        wire::LeafExecuteResult refusal;
+        refusal.set_request(request.request());
+        refusal.set_code(
+            static_cast<std::uint32_t>(result_code::shutting_down));
+        this->answer(from, refusal);
+        return;
+    }
+    if (!this->executed.add(name))
     {
-        wire::Envelope refusal;
-        auto& result = *refusal.mutable_leaf_execute_result();
-        result.set_request(request.request());
-        result.set_code(static_cast<std::uint32_t>(
-            known ? result_code::outcome_unknown : result_code::shutting_down));
-        answer(std::move(refusal));
         return;
     }
-    auto one =
-        std::make_shared<execution>(this->context, std::move(request), answer);
+    auto one = std::make_shared<execution>(this->context, std::move(request));
     ++this->sessions;
     boost::asio::co_spawn(
         this->context.owner.executor(),
-        [this, one] { return this->run_execute(one); }, boost::asio::detached);
+        [this, one, from] { return this->run_execute(one, from); },
+        boost::asio::detached);
 }
 
 template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
 boost::asio::awaitable<void>
-relay<Runtime, Transport, Peers>::run_execute(std::shared_ptr<execution> one)
+relay<Runtime, Transport, Peers>::run_execute(std::shared_ptr<execution> one,
+                                              peer_address from)
 {
-    co_await one->run();
+    const wire::LeafExecuteResult result = co_await one->run();
+    this->executed.finish(result);
+    this->answer(from, result);
     --this->sessions;
 }
 
+template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
+void relay<Runtime, Transport, Peers>::answer(
+    const peer_address& to, const wire::LeafExecuteResult& result)
+{
+    wire::Envelope message;
+    *message.mutable_leaf_execute_result() = result;
+    this->peers.send(to, std::move(message));
+}
+
+template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
+void relay<Runtime, Transport, Peers>::note_time()
+{
+    if (this->context.pauses.note(this->context.now()))
+    {
+        ++this->context.counts.pauses;
+        log_event(log_level::warning, "paused", {});
+    }
+}
+
+// Notes the time at short intervals, so that a pause of the process is seen.
+template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
+boost::asio::awaitable<void> relay<Runtime, Transport, Peers>::watch_pauses()
+{
+    typename Runtime::timer timer(this->context.owner.executor());
+    while (true)
+    {
+        timer.expires_after(relay_limits::pause_check_interval);
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        this->note_time();
+    }
+}
+
 // Answers every shard of a query with one code.
 template <runtime Runtime, leaf_transport Transport, peer_transport Peers>
 void relay<Runtime, Transport, Peers>::refuse(const peer_address& from,
--- a/src/process/relay_context.hpp
+++ b/src/process/relay_context.hpp
@@ -5,6 +5,8 @@
 #include "connection/leaf_transport.hpp"
 #include "process/attempt_budget.hpp"
 #include "process/latency_tracker.hpp"
+#include "process/pause_watch.hpp"
+#include "process/quarantine_table.hpp"
 #include "process/relay_policy.hpp"
 #include "process/slot_queue.hpp"
 
@@ -22,8 +24,12 @@
 {
     /// Latencies of leaf calls that were served.
     latency_tracker latency;
-    attempt_budget hedges;
-    attempt_budget retries;
+    attempt_budget hedges{service_record::first_hedges};
+    attempt_budget retries{service_record::first_retries};
+
+    /// Extra attempts that a new process may make before it has earned any.
+    static constexpr double first_hedges = 2.0;
+    static constexpr double first_retries = 10.0;
 };
 
 /// Counts of what became of calls and replies.
@@ -39,6 +45,10 @@
     std::uint64_t crossed_replies = 0;
     std::uint64_t bad_replies = 0;
     std::uint64_t executes = 0;
+    std::uint64_t leaves_lost = 0;
+    std::uint64_t silent_connections = 0;
+    std::uint64_t pauses = 0;
+    std::uint64_t put_aside = 0;
 };
 
 /// Lives as long as the process. Used on one thread.
@@ -64,10 +74,17 @@
     std::map<service_name, service_record> services;
     std::shared_ptr<const system_state> state;
     relay_counts counts;
+    quarantine_table quarantines;
+    pause_watch pauses;
 
     /// Tells the agent that a leaf is draining.
     std::function<void(const leaf_id&)> report_leaving = [](const leaf_id&) {
     };
+
+    /// Tells the agent of a new quarantine.
+    std::function<void(const quarantine&)> report_quarantine =
+        [](const quarantine&) {
+        };
 };
 
 } // namespace basilpath
--- a/src/process/relay_main.cpp
+++ b/src/process/relay_main.cpp
@@ -115,6 +115,22 @@
         message.mutable_soft()->add_leaving_leaves(leaf.value);
         hub.send(agent, std::move(message));
     };
+    process.context.report_quarantine =
+        [&hub, agent = peer_address(settings.agent)](const quarantine& found)
+    {
+        using std::chrono::ceil;
+        wire::Envelope message;
+        wire::Quarantine& told = *message.mutable_soft()->add_quarantines();
+        told.set_fingerprint(found.print.value);
+        told.set_remaining_ms(static_cast<std::uint32_t>(
+            ceil<std::chrono::milliseconds>(found.remaining).count()));
+        for (const leaf_id& leaf : found.leaves)
+        {
+            told.add_leaves(leaf.value);
+        }
+        hub.send(agent, std::move(message));
+    };
+    process.start();
     subscription.on_change(
         [&process](const std::shared_ptr<const system_state>& state)
         { process.apply(state); });
--- a/src/process/slot_queue.hpp
+++ b/src/process/slot_queue.hpp
@@ -19,6 +19,13 @@
 template <runtime Runtime>
 class slot_queue;
 
+/// How a slot is used.
+enum class slot_use : std::uint8_t
+{
+    shared, ///< beside others
+    alone   ///< with nothing else in progress at the leaf
+};
+
 /// One slot of one leaf, held from before the request is sent until its reply
 /// has come. The slot is given back when the lease is destroyed.
 template <runtime Runtime>
@@ -26,8 +33,9 @@
 {
 public:
     slot_lease(std::shared_ptr<slot_queue<Runtime>> queue,
-               std::shared_ptr<leaf_state> leaf)
-        : queue(std::move(queue)), held(std::move(leaf))
+               std::shared_ptr<leaf_state> leaf,
+               slot_use use = slot_use::shared)
+        : queue(std::move(queue)), held(std::move(leaf)), use(use)
     {
     }
 
@@ -40,6 +48,10 @@
     {
         if (this->held)
         {
+            if (this->use == slot_use::alone)
+            {
+                this->held->reserved = false;
+            }
             this->queue->release(this->held);
         }
     }
@@ -52,6 +64,7 @@
 private:
     std::shared_ptr<slot_queue<Runtime>> queue;
     std::shared_ptr<leaf_state> held;
+    slot_use use;
 };
 
 /// A task that waits for a slot.
@@ -90,9 +103,10 @@
     explicit slot_queue(Runtime& owner) : owner(owner) {}
 
     /// Waits until a slot is granted; nothing when the deadline comes first or
-    /// the wait is abandoned.
+    /// the wait is abandoned. For use alone the leaf is emptied first, and gets
+    /// no other request until the lease is given back.
     boost::asio::awaitable<std::optional<lease>>
-    acquire(std::shared_ptr<waiter> one);
+    acquire(std::shared_ptr<waiter> one, slot_use use);
 
     /// Takes a slot that is free now, if any leaf has one.
     std::optional<lease>
@@ -110,6 +124,9 @@
     /// Grants at a leaf when its pause has ended.
     void dispatch_later(const std::shared_ptr<leaf_state>& leaf);
 
+    /// Ends the waits of those who waited for nothing but closed leaves.
+    void close(const std::shared_ptr<leaf_state>& leaf);
+
     /// Tasks that wait.
     [[nodiscard]] std::size_t waiting() const;
 
@@ -119,10 +136,19 @@
     using line = std::map<key, std::shared_ptr<waiter>>;
 
     [[nodiscard]] instant now() const;
+    boost::asio::awaitable<std::optional<lease>>
+    acquire_shared(std::shared_ptr<waiter> one);
+    boost::asio::awaitable<std::optional<lease>>
+    acquire_alone(std::shared_ptr<waiter> one);
     std::shared_ptr<leaf_state>
     choose(const std::vector<std::shared_ptr<leaf_state>>& candidates);
+    boost::asio::awaitable<bool> empty(std::shared_ptr<leaf_state> leaf,
+                                       waiter& one);
+    boost::asio::awaitable<void> sleep(microseconds time);
+    [[nodiscard]] bool accepts(const waiter& one, const leaf_state& leaf) const;
     void leave_lines(const waiter& one, key place);
-    boost::asio::awaitable<void> wait_for(std::shared_ptr<leaf_state> leaf);
+    boost::asio::awaitable<void>
+    wait_for_pause(std::shared_ptr<leaf_state> leaf);
 
     Runtime& owner;
     std::uint64_t arrivals = 0;
--- a/src/request/leaf_execute_session.hpp
+++ b/src/request/leaf_execute_session.hpp
@@ -3,10 +3,10 @@
 
 #include "connection/wire.pb.h"
 #include "process/relay_context.hpp"
+#include "request/leaf_attempt.hpp"
 #include "request/leaf_call.hpp"
 #include "request/result_code.hpp"
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -26,23 +26,21 @@
 {
 public:
     using context_type = relay_context<Runtime, Transport>;
-    using reply_function = std::function<void(wire::Envelope)>;
 
-    leaf_execute_session(context_type& context, wire::LeafExecute request,
-                         reply_function reply);
+    leaf_execute_session(context_type& context, wire::LeafExecute request);
 
-    /// Answers the request, once.
-    boost::asio::awaitable<void> run();
+    /// Runs the request and returns its result.
+    boost::asio::awaitable<wire::LeafExecuteResult> run();
 
 private:
     [[nodiscard]] std::optional<result_code> find_shard();
     boost::asio::awaitable<result_code> execute();
     boost::asio::awaitable<leaf_verdict> attempt(slot_lease<Runtime> slot);
+    [[nodiscard]] leaf_attempt<Runtime> make_attempt() const;
     [[nodiscard]] std::vector<std::shared_ptr<leaf_state>> candidates() const;
 
     context_type& context;
     wire::LeafExecute request;
-    reply_function reply;
     instant deadline;
     std::shared_ptr<const index_version> version;
     std::vector<std::shared_ptr<leaf_state>> replicas;
--- a/src/request/leaf_execute_session.ipp
+++ b/src/request/leaf_execute_session.ipp
@@ -10,8 +10,8 @@
 
 template <runtime Runtime, leaf_transport Transport>
 leaf_execute_session<Runtime, Transport>::leaf_execute_session(
-    context_type& context, wire::LeafExecute request, reply_function reply)
-    : context(context), request(std::move(request)), reply(std::move(reply)),
+    context_type& context, wire::LeafExecute request)
+    : context(context), request(std::move(request)),
       deadline(context.now() + microseconds(this->request.budget_us()))
 {
     this->result.set_request(this->request.request());
@@ -19,16 +19,19 @@
 }
 
 template <runtime Runtime, leaf_transport Transport>
-boost::asio::awaitable<void> leaf_execute_session<Runtime, Transport>::run()
+boost::asio::awaitable<wire::LeafExecuteResult>
+leaf_execute_session<Runtime, Transport>::run()
 {
     const auto self = this->shared_from_this();
     ++this->context.counts.executes;
     const auto refused = this->find_shard();
-    const result_code code = refused ? *refused : co_await this->execute();
+    result_code code = refused.value_or(result_code::outcome_unknown);
+    if (!refused)
+    {
+        code = co_await this->execute();
+    }
     this->result.set_code(static_cast<std::uint32_t>(code));
-    wire::Envelope message;
-    *message.mutable_leaf_execute_result() = this->result;
-    this->reply(std::move(message));
+    co_return this->result;
 }
 
 // Finds the replicas; says why the request is refused when there are none.
@@ -77,10 +80,20 @@
     {
         const auto waiter = std::make_shared<slot_waiter<Runtime>>(
             this->context.owner, this->deadline, open);
-        auto slot = co_await this->context.slots->acquire(waiter);
+        const standing known = this->context.quarantines.look_up(
+            fingerprint(this->request.fingerprint()), this->context.now());
+        if (known == standing::quarantined)
+        {
+            co_return result_code::quarantined;
+        }
+        const slot_use use =
+            known == standing::suspect ? slot_use::alone : slot_use::shared;
+        auto slot = co_await this->context.slots->acquire(waiter, use);
         if (!slot || this->context.now() >= this->deadline)
         {
-            co_return result_code::expired_before_send;
+            co_return this->candidates().empty()
+                ? result_code::no_replica
+                : result_code::expired_before_send;
         }
         this->tried.push_back(slot->leaf()->id);
         const leaf_verdict verdict = co_await this->attempt(std::move(*slot));
@@ -98,34 +111,39 @@
 boost::asio::awaitable<leaf_verdict>
 leaf_execute_session<Runtime, Transport>::attempt(slot_lease<Runtime> slot)
 {
-    const leaf_call call{
-        request_id(this->request.request()),
-        attempt_number(static_cast<std::uint32_t>(this->tried.size())),
-        service_name(this->request.service()),
-        version_number(this->request.version()),
-        shard_number(this->request.shard()),
-        this->deadline - this->context.now(),
-        true,
-        this->request.query()};
-    http_request sent;
-    sent.url = "/v1/leaf";
-    sent.body = leaf_call_body(call);
-    sent.timeout = call.budget;
-    sent.fresh_connection = true;
-    const http_reply answer =
-        co_await this->context.transport.send(*slot.leaf(), std::move(sent));
-    leaf_answer judged = judge_reply(call, answer);
-    if (judged.verdict == leaf_verdict::draining)
-    {
-        slot.leaf()->leaving = true;
-        this->context.report_leaving(slot.leaf()->id);
-    }
-    if (judged.verdict == leaf_verdict::served)
+    const std::shared_ptr<leaf_state> leaf = slot.leaf();
+    leaf_attempt<Runtime> made = this->make_attempt();
+    leaf_answer answer = co_await run_leaf_attempt(
+        this->context, std::move(made), std::move(slot));
+    if (answer.verdict == leaf_verdict::served)
     {
-        this->result.set_leaf(slot.leaf()->id.value);
-        this->result.set_items(std::move(judged.items));
+        this->result.set_leaf(leaf->id.value);
+        this->result.set_items(std::move(answer.items));
     }
-    co_return judged.verdict;
+    co_return answer.verdict;
+}
+
+// The attempt, with a timeout at the deadline: nothing is sent after it.
+template <runtime Runtime, leaf_transport Transport>
+leaf_attempt<Runtime>
+leaf_execute_session<Runtime, Transport>::make_attempt() const
+{
+    leaf_attempt<Runtime> made;
+    made.call.request = request_id(this->request.request());
+    made.call.attempt =
+        attempt_number(static_cast<std::uint32_t>(this->tried.size()));
+    made.call.service = service_name(this->request.service());
+    made.call.version = version_number(this->request.version());
+    made.call.shard = shard_number(this->request.shard());
+    made.call.budget = this->deadline - this->context.now();
+    made.call.execute = true;
+    made.call.query = this->request.query();
+    made.print = fingerprint(this->request.fingerprint());
+    made.sent_as =
+        this->context.quarantines.look_up(made.print, this->context.now());
+    made.replicas = this->replicas;
+    made.timeout = made.call.budget;
+    return made;
 }
 
 // The replicas that were not tried and are not leaving.
@@ -137,7 +155,7 @@
     std::ranges::copy_if(this->replicas, std::back_inserter(open),
                          [this](const auto& leaf)
                          {
-                             return !leaf->leaving &&
+                             return leaf->open() &&
                                     std::ranges::find(this->tried, leaf->id) ==
                                         this->tried.end();
                          });
--- a/src/request/shard_call.hpp
+++ b/src/request/shard_call.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "process/relay_context.hpp"
+#include "request/leaf_attempt.hpp"
 #include "request/leaf_call.hpp"
 #include "request/mailbox.hpp"
 #include "request/result_code.hpp"
@@ -37,6 +38,8 @@
     std::string items;
     microseconds elapsed{0};
     microseconds queued{0};
+
+    /// Attempts that may have reached a leaf.
     std::uint32_t attempts = 0;
     std::uint32_t hedges = 0;
 };
@@ -61,6 +64,7 @@
 
 private:
     using lease = slot_lease<Runtime>;
+    using leaves = std::vector<std::shared_ptr<leaf_state>>;
 
     /// An attempt that has been sent.
     struct attempt
@@ -68,6 +72,12 @@
         leaf_call call;
         std::shared_ptr<leaf_state> leaf;
         bool ended = false;
+
+        static const std::shared_ptr<leaf_state>&
+        leaf_of(const std::shared_ptr<attempt>& one)
+        {
+            return one->leaf;
+        }
     };
 
     /// The end of an attempt.
@@ -78,17 +88,18 @@
     };
 
     [[nodiscard]] std::optional<result_code> refusal() const;
-    [[nodiscard]] std::vector<std::shared_ptr<leaf_state>> untried() const;
+    [[nodiscard]] leaves untried() const;
     boost::asio::awaitable<bool> start_attempt();
     void send(lease slot);
     boost::asio::awaitable<void> run_attempt(std::shared_ptr<attempt> one,
                                              lease slot);
-    boost::asio::awaitable<void> send_cancel(std::shared_ptr<attempt> one);
-    void observe(const attempt& one, const leaf_answer& answer,
-                 microseconds elapsed);
+    void probe();
+    [[nodiscard]] leaf_call make_call();
+    [[nodiscard]] leaf_attempt<Runtime> make_attempt(leaf_call call) const;
+    [[nodiscard]] standing known() const;
     void hedge();
     bool take_result(const attempt_result& result);
-    [[nodiscard]] bool may_retry() const;
+    bool may_retry();
     [[nodiscard]] instant hedge_time() const;
     void cancel_attempts();
     [[nodiscard]] result_code failure() const;
@@ -97,7 +108,7 @@
     service_record& service;
     std::shared_ptr<shard_work> work;
     shard_number part;
-    std::vector<std::shared_ptr<leaf_state>> replicas;
+    leaves replicas;
     std::vector<std::shared_ptr<attempt>> attempts;
     mailbox<Runtime, attempt_result> results;
     std::shared_ptr<slot_waiter<Runtime>> waiter;
@@ -105,6 +116,7 @@
     instant sent_at;
     std::size_t running = 0;
     std::optional<leaf_verdict> last_verdict;
+    std::optional<result_code> refused;
     bool may_have_run = false;
     bool hedged = false;
     bool cancelled = false;
--- a/src/request/shard_call.ipp
+++ b/src/request/shard_call.ipp
@@ -17,7 +17,7 @@
 /// How long the reply to a call is awaited past the deadline, so that the slot
 /// stays counted until the leaf is done with it.
 inline constexpr microseconds reply_grace = 250ms;
-inline constexpr microseconds cancel_timeout = 200ms;
+inline constexpr microseconds probe_interval = 100ms;
 inline constexpr std::size_t attempts_most = 4;
 inline constexpr double hedge_quantile = 0.95;
 inline constexpr int hedge_median_factor = 3;
@@ -43,11 +43,13 @@
     const instant began = this->context.now();
 
     // Step 1. Refuse what cannot succeed.
-    if (const auto refused = this->refusal())
+    this->refused = this->refusal();
+    if (this->refused)
     {
-        this->outcome.code = *refused;
+        this->outcome.code = *this->refused;
         co_return this->outcome;
     }
+    this->probe();
     ++this->context.counts.first_attempts;
     this->service.hedges.note_first();
     this->service.retries.note_first();
@@ -80,6 +82,7 @@
         }
         if (this->running == 0 && !this->may_retry())
         {
+            this->refused = this->refusal();
             break;
         }
     }
@@ -92,7 +95,6 @@
         this->outcome.code = this->failure();
     }
     this->outcome.elapsed = this->context.now() - began;
-    this->outcome.attempts = static_cast<std::uint32_t>(this->attempts.size());
     co_return this->outcome;
 }
 
@@ -111,7 +113,12 @@
 template <runtime Runtime, leaf_transport Transport>
 std::optional<result_code> shard_call<Runtime, Transport>::refusal() const
 {
-    if (this->replicas.empty())
+    if (this->known() == standing::quarantined)
+    {
+        return result_code::quarantined;
+    }
+    if (std::ranges::none_of(this->replicas, &leaf_state::open,
+                             &std::shared_ptr<leaf_state>::operator*))
     {
         return result_code::no_replica;
     }
@@ -128,38 +135,50 @@
     return std::nullopt;
 }
 
+// What is known of the request's fingerprint.
+template <runtime Runtime, leaf_transport Transport>
+standing shard_call<Runtime, Transport>::known() const
+{
+    return this->context.quarantines.look_up(this->work->print,
+                                             this->context.now());
+}
+
 // The replicas that were not asked yet; all, when every one was.
 template <runtime Runtime, leaf_transport Transport>
-std::vector<std::shared_ptr<leaf_state>>
-shard_call<Runtime, Transport>::untried() const
+auto shard_call<Runtime, Transport>::untried() const -> leaves
 {
     const auto fresh = [this](const std::shared_ptr<leaf_state>& leaf)
     {
-        return !leaf->leaving &&
-               std::ranges::none_of(this->attempts, [&leaf](const auto& one)
-                                    { return one->leaf == leaf; });
+        return leaf->open() &&
+               std::ranges::find(this->attempts, leaf, &attempt::leaf_of) ==
+                   this->attempts.end();
     };
-    std::vector<std::shared_ptr<leaf_state>> found;
+    leaves found;
     std::ranges::copy_if(this->replicas, std::back_inserter(found), fresh);
     if (found.empty())
     {
         std::ranges::copy_if(this->replicas, std::back_inserter(found),
-                             [](const auto& leaf) { return !leaf->leaving; });
+                             &leaf_state::open,
+                             &std::shared_ptr<leaf_state>::operator*);
     }
     return found;
 }
 
-// Waits for a slot and sends; false when no slot came in time.
+// Waits for a slot and sends; false when no slot came in time. A request that
+// a leaf was lost with runs alone, so that it is told from its neighbours.
 template <runtime Runtime, leaf_transport Transport>
 boost::asio::awaitable<bool> shard_call<Runtime, Transport>::start_attempt()
 {
     const instant asked = this->context.now();
     this->waiter = std::make_shared<slot_waiter<Runtime>>(
         this->context.owner, this->work->deadline, this->untried());
-    auto slot = co_await this->context.slots->acquire(this->waiter);
+    const slot_use use =
+        this->known() == standing::suspect ? slot_use::alone : slot_use::shared;
+    auto slot = co_await this->context.slots->acquire(this->waiter, use);
     this->waiter.reset();
     this->outcome.queued += this->context.now() - asked;
-    if (!slot || this->cancelled)
+    this->refused = this->refusal();
+    if (!slot || this->cancelled || this->refused)
     {
         co_return false;
     }
@@ -167,6 +186,34 @@
     co_return true;
 }
 
+// The call as the next attempt words it.
+template <runtime Runtime, leaf_transport Transport>
+leaf_call shard_call<Runtime, Transport>::make_call()
+{
+    leaf_call call;
+    call.request = this->work->request;
+    call.attempt = attempt_number(++this->work->last_attempt);
+    call.service = this->work->service;
+    call.version = this->work->version;
+    call.shard = this->part;
+    call.budget = this->work->deadline - this->context.now();
+    call.query = this->work->query;
+    return call;
+}
+
+template <runtime Runtime, leaf_transport Transport>
+leaf_attempt<Runtime>
+shard_call<Runtime, Transport>::make_attempt(leaf_call call) const
+{
+    leaf_attempt<Runtime> made;
+    made.print = this->work->print;
+    made.sent_as = this->known();
+    made.replicas = this->replicas;
+    made.timeout = call.budget + shard_call_limits::reply_grace;
+    made.call = std::move(call);
+    return made;
+}
+
 // Starts the task of one attempt.
 template <runtime Runtime, leaf_transport Transport>
 void shard_call<Runtime, Transport>::send(lease slot)
@@ -174,15 +221,9 @@
     auto one = std::make_shared<attempt>();
     this->sent_at = this->context.now();
     one->leaf = slot.leaf();
-    one->call = {this->work->request,
-                 attempt_number(++this->work->last_attempt),
-                 this->work->service,
-                 this->work->version,
-                 this->part,
-                 this->work->deadline - this->sent_at,
-                 false,
-                 this->work->query};
+    one->call = this->make_call();
     this->attempts.push_back(one);
+    ++this->outcome.attempts;
     ++this->running;
     boost::asio::co_spawn(
         this->context.owner.executor(),
@@ -192,68 +233,53 @@
         boost::asio::detached);
 }
 
-// Runs one attempt to its reply; the slot is held for as long.
+// Runs one attempt to its reply.
 template <runtime Runtime, leaf_transport Transport>
 boost::asio::awaitable<void>
 shard_call<Runtime, Transport>::run_attempt(std::shared_ptr<attempt> one,
                                             lease slot)
 {
-    const instant started = this->context.now();
-    http_request request;
-    request.url = "/v1/leaf";
-    request.body = leaf_call_body(one->call);
-    request.timeout = one->call.budget + shard_call_limits::reply_grace;
-    const http_reply reply =
-        co_await this->context.transport.send(*slot.leaf(), std::move(request));
-    leaf_answer answer = judge_reply(one->call, reply);
+    leaf_attempt<Runtime> sent = this->make_attempt(one->call);
+    attempt_result ended;
+    ended.of = one;
+    ended.answer = co_await run_leaf_attempt(this->context, std::move(sent),
+                                             std::move(slot));
     one->ended = true;
-    this->observe(*one, answer, this->context.now() - started);
-    this->results.push({one, std::move(answer)});
-}
-
-// Tells the leaf that the reply is no longer wanted.
-template <runtime Runtime, leaf_transport Transport>
-boost::asio::awaitable<void>
-shard_call<Runtime, Transport>::send_cancel(std::shared_ptr<attempt> one)
-{
-    http_request request;
-    request.url = "/v1/cancel";
-    request.body = leaf_cancel_body(one->call);
-    request.timeout = shard_call_limits::cancel_timeout;
-    co_await this->context.transport.send(*one->leaf, std::move(request));
+    this->context.counts.late_replies += this->finished ? 1 : 0;
+    this->results.push(std::move(ended));
 }
 
-// Draws from a reply what it tells of the leaf.
+// Sends a duplicate to each replica that was put aside, now and then, to see
+// whether it has recovered. Its reply is measured and not used.
 template <runtime Runtime, leaf_transport Transport>
-void shard_call<Runtime, Transport>::observe(const attempt& one,
-                                             const leaf_answer& answer,
-                                             microseconds elapsed)
+void shard_call<Runtime, Transport>::probe()
 {
     const instant now = this->context.now();
-    auto& counts = this->context.counts;
-    counts.late_replies += this->finished ? 1 : 0;
-    switch (answer.verdict)
+    if (this->known() != standing::proven)
     {
-    case leaf_verdict::served:
-        one.leaf->note_served(now, elapsed);
-        this->service.latency.record(now, elapsed);
-        break;
-    case leaf_verdict::busy:
-        one.leaf->note_busy(now);
-        this->context.slots->dispatch_later(one.leaf);
-        break;
-    case leaf_verdict::draining:
-        one.leaf->leaving = true;
-        this->context.report_leaving(one.leaf->id);
-        break;
-    case leaf_verdict::crossed:
-        ++counts.crossed_replies;
-        break;
-    case leaf_verdict::bad_reply:
-        ++counts.bad_replies;
-        break;
-    default:
-        break;
+        return;
+    }
+    for (const auto& leaf : this->replicas)
+    {
+        if (!leaf->put_aside || leaf->in_use > 0 || !leaf->has_room(now) ||
+            now - leaf->probed_at < shard_call_limits::probe_interval ||
+            !this->service.hedges.take())
+        {
+            continue;
+        }
+        leaf->probed_at = now;
+        auto slot = this->context.slots->try_acquire({leaf});
+        if (!slot)
+        {
+            continue;
+        }
+        ++this->context.counts.probes;
+        boost::asio::co_spawn(
+            this->context.owner.executor(),
+            run_leaf_attempt(this->context,
+                             this->make_attempt(this->make_call()),
+                             std::move(*slot)),
+            boost::asio::detached);
     }
 }
 
@@ -262,11 +288,15 @@
 void shard_call<Runtime, Transport>::hedge()
 {
     this->hedged = true;
-    const auto others = this->untried();
-    const bool fresh = std::ranges::none_of(
-        this->attempts, [&others](const auto& one)
-        { return std::ranges::find(others, one->leaf) != others.end(); });
-    if (others.empty() || !fresh)
+    leaves others = this->untried();
+    std::erase_if(others,
+                  [this](const auto& leaf)
+                  {
+                      return std::ranges::find(this->attempts, leaf,
+                                               &attempt::leaf_of) !=
+                             this->attempts.end();
+                  });
+    if (others.empty() || this->known() == standing::suspect)
     {
         return;
     }
@@ -293,18 +323,29 @@
         return true;
     }
     this->last_verdict = result.answer.verdict;
+    if (result.answer.verdict == leaf_verdict::not_reached)
+    {
+        --this->outcome.attempts;
+    }
     this->may_have_run =
         this->may_have_run || !certainly_not_run(result.answer.verdict);
     return false;
 }
 
-// Tells whether another attempt is worth its cost, and spends the budget.
+// Tells whether another attempt is worth its cost, and spends the budget. An
+// attempt that reached no leaf or a draining one has cost nothing.
 template <runtime Runtime, leaf_transport Transport>
-bool shard_call<Runtime, Transport>::may_retry() const
+bool shard_call<Runtime, Transport>::may_retry()
 {
-    if (this->attempts.size() >= shard_call_limits::attempts_most ||
-        this->context.now() >= this->work->deadline ||
-        !this->service.retries.take())
+    const bool cost_nothing = this->last_verdict == leaf_verdict::not_reached ||
+                              this->last_verdict == leaf_verdict::draining;
+    if (this->context.now() >= this->work->deadline)
+    {
+        return false;
+    }
+    if (!cost_nothing &&
+        (this->outcome.attempts >= shard_call_limits::attempts_most ||
+         !this->service.retries.take()))
     {
         return false;
     }
@@ -336,11 +377,9 @@
     {
         if (!one->ended)
         {
-            ++this->context.counts.cancels;
             boost::asio::co_spawn(
                 this->context.owner.executor(),
-                [self = this->shared_from_this(), one]
-                { return self->send_cancel(one); },
+                cancel_leaf_call(this->context, one->call, one->leaf),
                 boost::asio::detached);
         }
     }
@@ -354,10 +393,18 @@
     {
         return result_code::cancelled;
     }
+    if (this->refused == result_code::quarantined)
+    {
+        return result_code::quarantined;
+    }
     if (this->running > 0)
     {
         return result_code::deadline_exceeded;
     }
+    if (this->attempts.empty() && this->refused)
+    {
+        return *this->refused;
+    }
     if (!this->last_verdict)
     {
         return result_code::expired_before_send;
--- a/src/request/shard_query_session.hpp
+++ b/src/request/shard_query_session.hpp
@@ -43,7 +43,11 @@
     };
 
     [[nodiscard]] std::optional<result_code> find_version();
-    void start_calls();
+    [[nodiscard]] bool needs_trial() const;
+    void start_call(std::uint32_t part);
+    void refuse_rest(result_code code);
+    boost::asio::awaitable<void> run_trial();
+    boost::asio::awaitable<bool> wait_for_turn();
     boost::asio::awaitable<void> run_call(std::shared_ptr<call> one,
                                           shard_number part);
     boost::asio::awaitable<void> send_results();
@@ -58,6 +62,7 @@
     std::vector<std::shared_ptr<call>> calls;
     mailbox<Runtime, shard_result> results;
     wire::ShardResults gathered;
+    std::vector<std::uint32_t> unstarted;
     std::size_t unanswered = 0;
     bool cancelled = false;
 };
--- a/src/request/shard_query_session.ipp
+++ b/src/request/shard_query_session.ipp
@@ -14,6 +14,9 @@
 /// that comes again through another relay uses other numbers.
 inline constexpr std::uint32_t attempt_range = 4096;
 
+/// How often a query looks whether another of its kind has ended its trial.
+inline constexpr microseconds turn_check_interval{1'000};
+
 } // namespace shard_query_limits
 
 template <runtime Runtime, leaf_transport Transport>
@@ -40,20 +43,101 @@
 {
     const auto self = this->shared_from_this();
     ++this->context.counts.queries;
-    this->unanswered = static_cast<std::size_t>(this->query.shards_size());
+    this->unstarted.assign(this->query.shards().begin(),
+                           this->query.shards().end());
+    std::ranges::sort(this->unstarted);
+    const auto repeated = std::ranges::unique(this->unstarted);
+    this->unstarted.erase(repeated.begin(), repeated.end());
+    this->unanswered = this->unstarted.size();
     if (const auto refused = this->find_version())
     {
-        for (const std::uint32_t part : this->query.shards())
+        this->refuse_rest(*refused);
+    }
+    else if (this->needs_trial())
+    {
+        co_await this->run_trial();
+    }
+    while (!this->unstarted.empty())
+    {
+        this->start_call(this->unstarted.front());
+    }
+    co_await this->send_results();
+}
+
+// Tells whether the query has yet to show that targets survive it. An entry
+// sends several shards only of a query that has shown it.
+template <runtime Runtime, leaf_transport Transport>
+bool shard_query_session<Runtime, Transport>::needs_trial() const
+{
+    const standing known = this->context.quarantines.look_up(
+        this->work->print, this->context.now());
+    return known == standing::suspect ||
+           (known == standing::unknown &&
+            (this->query.canary() || this->query.shards_size() == 1));
+}
+
+// Runs one shard after the other until one is served; then the rest may run
+// side by side. Only one query of a fingerprint is on trial at a time.
+template <runtime Runtime, leaf_transport Transport>
+boost::asio::awaitable<void>
+shard_query_session<Runtime, Transport>::run_trial()
+{
+    if (!co_await this->wait_for_turn())
+    {
+        co_return;
+    }
+    bool served = false;
+    while (!served && !this->unstarted.empty() && !this->cancelled)
+    {
+        this->start_call(this->unstarted.front());
+        const auto ended =
+            co_await this->results.pop_until(Runtime::clock::time_point::max());
+        if (ended.has_value())
         {
-            shard_outcome outcome;
-            outcome.code = *refused;
-            this->add({shard_number(part), outcome});
+            served = ended->outcome.code == result_code::complete;
+            this->add(*ended);
         }
-        this->flush();
-        co_return;
     }
-    this->start_calls();
-    co_await this->send_results();
+    this->context.quarantines.end_trial(this->work->print);
+}
+
+// Waits until no other query of the fingerprint is on trial; false when the
+// query needs no trial any more or its time has run out.
+template <runtime Runtime, leaf_transport Transport>
+boost::asio::awaitable<bool>
+shard_query_session<Runtime, Transport>::wait_for_turn()
+{
+    typename Runtime::timer timer(this->context.owner.executor());
+    while (!this->cancelled && this->needs_trial())
+    {
+        if (this->context.quarantines.begin_trial(this->work->print))
+        {
+            co_return true;
+        }
+        if (this->context.now() >= this->work->deadline)
+        {
+            this->refuse_rest(result_code::expired_before_send);
+            break;
+        }
+        timer.expires_after(shard_query_limits::turn_check_interval);
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    co_return false;
+}
+
+// Answers the shards that were not started with one code.
+template <runtime Runtime, leaf_transport Transport>
+void shard_query_session<Runtime, Transport>::refuse_rest(result_code code)
+{
+    for (const std::uint32_t part : this->unstarted)
+    {
+        shard_result refused;
+        refused.part = shard_number(part);
+        refused.outcome.code = code;
+        this->add(refused);
+    }
+    this->unstarted.clear();
 }
 
 template <runtime Runtime, leaf_transport Transport>
@@ -97,21 +181,19 @@
                : result_code::malformed_request;
 }
 
-// Starts one task for each shard.
+// Starts the task of one shard.
 template <runtime Runtime, leaf_transport Transport>
-void shard_query_session<Runtime, Transport>::start_calls()
+void shard_query_session<Runtime, Transport>::start_call(std::uint32_t part)
 {
-    for (const std::uint32_t part : this->query.shards())
-    {
-        auto one = std::make_shared<call>(this->context, this->work,
-                                          this->version->shards[part]);
-        this->calls.push_back(one);
-        boost::asio::co_spawn(
-            this->context.owner.executor(),
-            [self = this->shared_from_this(), one, part]
-            { return self->run_call(one, shard_number(part)); },
-            boost::asio::detached);
-    }
+    std::erase(this->unstarted, part);
+    auto one = std::make_shared<call>(this->context, this->work,
+                                      this->version->shards[part]);
+    this->calls.push_back(one);
+    boost::asio::co_spawn(
+        this->context.owner.executor(),
+        [self = this->shared_from_this(), one, part]
+        { return self->run_call(one, shard_number(part)); },
+        boost::asio::detached);
 }
 
 template <runtime Runtime, leaf_transport Transport>
@@ -133,6 +215,10 @@
 {
     using clock = typename Runtime::clock;
     instant flush_at = instant::max();
+    if (this->unanswered == 0)
+    {
+        this->flush();
+    }
     while (this->unanswered > 0 && !this->cancelled)
     {
         auto ended = co_await this->results.pop_until(
--- a/test/scripted_leaves.hpp
+++ b/test/scripted_leaves.hpp
@@ -52,6 +52,9 @@
 {
     microseconds after{5'000};
     http_reply reply;
+
+    /// Whether a cancellation ends the call.
+    bool heeds_cancel = true;
 };
 
 // A served reply that echoes the call.
@@ -63,19 +66,19 @@
     body.erase("execute");
     body.erase("query");
     body["items"] = {{{"shard", call.body["shard"]}, {"leaf", call.leaf}}};
-    return {after, {http_outcome::answered, 200, body.dump(), "", false}};
+    return {after, {http_outcome::answered, 200, body.dump(), "", false}, true};
 }
 
 // A reply of this status without items.
 inline scripted_reply status(int number, microseconds after = 1ms)
 {
-    return {after, {http_outcome::answered, number, "{}", "", false}};
+    return {after, {http_outcome::answered, number, "{}", "", false}, true};
 }
 
 // No reply: the call ends so.
 inline scripted_reply lost(http_outcome outcome, microseconds after = 1ms)
 {
-    return {after, {outcome, 0, "", "lost", false}};
+    return {after, {outcome, 0, "", "lost", false}, true};
 }
 
 /// Every leaf serves in 5 ms unless it has a script. A cancelled call ends
@@ -91,11 +94,22 @@
     }
 
     std::map<std::string, script> scripts;
+
+    /// Leaves that refuse connections until a time.
+    std::map<std::string, instant> down;
     std::map<std::string, std::size_t> calls;
     std::map<std::string, std::size_t> in_use;
     std::map<std::string, std::size_t> peak;
     bool quiet = false;
 
+    /// Ends the call without a reply; the leaf is down for a second.
+    scripted_reply crash(const scripted_call& call, microseconds after = 2ms)
+    {
+        const instant now = to_instant(virtual_clock::now());
+        this->down[call.leaf] = now + after + 1s;
+        return lost(http_outcome::dropped, after);
+    }
+
     boost::asio::awaitable<http_reply> send(const leaf_state& leaf,
                                             http_request request)
     {
@@ -115,9 +129,7 @@
         this->note(call,
                    fmt::format("deadline={}{}", call.body["deadline_ms"].dump(),
                                call.fresh_connection ? " fresh" : ""));
-        scripted_reply next = this->scripts.contains(call.leaf)
-                                  ? this->scripts[call.leaf](call)
-                                  : served(call);
+        scripted_reply next = this->next_reply(call);
         co_await this->wait(call, next, request.timeout);
         --this->in_use[call.leaf];
         this->note(call, fmt::format("ends status={}", next.reply.status));
@@ -127,6 +139,24 @@
 private:
     using timer_type = virtual_runtime::timer;
 
+    [[nodiscard]] bool is_down(const std::string& leaf) const
+    {
+        const auto found = this->down.find(leaf);
+        return found != this->down.end() &&
+               to_instant(virtual_clock::now()) < found->second;
+    }
+
+    scripted_reply next_reply(const scripted_call& call)
+    {
+        if (this->is_down(call.leaf))
+        {
+            return lost(http_outcome::connect_failed);
+        }
+        const auto found = this->scripts.find(call.leaf);
+        return found == this->scripts.end() ? served(call)
+                                            : found->second(call);
+    }
+
     static std::string name(const scripted_call& call)
     {
         return fmt::format("{} {}#{}", call.leaf,
@@ -138,7 +168,9 @@
     {
         if (!this->quiet)
         {
-            this->record.add(fmt::format("{} {}", name(call), event));
+            const bool check = call.path == "/healthz";
+            this->record.add(
+                fmt::format("{} {}", check ? call.leaf : name(call), event));
         }
     }
 
@@ -148,7 +180,10 @@
     {
         auto timer = std::make_shared<timer_type>(this->owner.executor());
         timer->expires_after(std::min(next.after, timeout));
-        this->waiting[name(call)] = timer;
+        if (next.heeds_cancel)
+        {
+            this->waiting[name(call)] = timer;
+        }
         const auto [failed] = co_await timer->async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
         this->waiting.erase(name(call));
@@ -169,8 +204,12 @@
         timer.expires_after(500us);
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (this->is_down(call.leaf))
+        {
+            co_return lost(http_outcome::connect_failed).reply;
+        }
         const auto found = this->waiting.find(name(call));
-        if (found != this->waiting.end())
+        if (call.path == "/v1/cancel" && found != this->waiting.end())
         {
             found->second->cancel();
         }
@@ -277,11 +316,24 @@
         this->state->configuration = all;
         this->state->targets = targets;
         this->subject.apply(this->state);
+        this->subject.start();
+        this->subject.context.report_leaving = [this](const leaf_id& leaf)
+        {
+            this->record.add("told leaving " + leaf.value);
+        };
+        this->subject.context.report_quarantine =
+            [this](const quarantine& found)
+        {
+            this->record.add(fmt::format("told quarantine {} leaves={}",
+                                         found.print.value,
+                                         found.leaves.size()));
+        };
     }
 
     /// Sends a query on these shards.
-    void query(const std::string& name, std::vector<std::uint32_t> shards,
-               microseconds budget = 100ms, std::uint64_t print = 7)
+    void query(const std::string& name,
+               const std::vector<std::uint32_t>& shards,
+               microseconds budget = 100ms, std::uint64_t print = 0)
     {
         wire::Envelope message;
         auto& asked = *message.mutable_shard_query();
@@ -297,7 +349,8 @@
     }
 
     /// Sends a request to execute on shard 0.
-    void execute(const std::string& name, microseconds budget = 100ms)
+    void execute(const std::string& name, microseconds budget = 100ms,
+                 std::uint64_t print = 0)
     {
         wire::Envelope message;
         auto& asked = *message.mutable_leaf_execute();
@@ -306,6 +359,7 @@
         asked.set_version(3);
         asked.set_budget_us(static_cast<std::uint64_t>(budget.count()));
         asked.set_query("{}");
+        asked.set_fingerprint(print);
         this->subject.receive(this->entry, std::move(message));
     }
 
@@ -315,6 +369,32 @@
         this->owner.run_until(end);
     }
 
+    /// Cancels a query.
+    void cancel(const std::string& name)
+    {
+        wire::Envelope message;
+        message.mutable_cancel_query()->set_request(name);
+        this->subject.receive(this->entry, std::move(message));
+    }
+
+    /// The leaf of this name.
+    leaf_state& leaf(const std::string& name)
+    {
+        return *this->subject.context.leaves.all().at(leaf_id(name));
+    }
+
+    /// Time since the start.
+    static microseconds elapsed()
+    {
+        return virtual_clock::now().time_since_epoch();
+    }
+
+    /// The process stands still, and nothing of it runs meanwhile.
+    static void pause(microseconds time)
+    {
+        virtual_clock::current += time;
+    }
+
     /// Serves queries of shard 0, one every `interval`, to fill the histograms.
     void warm_up(std::size_t queries, microseconds interval = 10ms,
                  std::uint32_t part = 0)
@@ -323,7 +403,7 @@
         for (std::size_t i = 0; i < queries; ++i)
         {
             this->query(fmt::format("warm-{}", i), {part}, 1s);
-            this->run_until(virtual_clock::now().time_since_epoch() + interval);
+            this->run_until(elapsed() + interval);
         }
         this->leaves.quiet = this->peers.quiet = false;
         this->peers.results.clear();
