--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -103,6 +103,8 @@
     void consider(const peer_address& from, const wire::ValueDigest& told);
     void start_fetch(offer from);
     void take(const std::string& name, std::string bytes, const char* source);
+    bool is_faulty(const std::string& name, std::uint64_t number,
+                   std::string_view bytes);
     void report_refusal(const std::string& name, std::uint64_t number,
                         offer_outcome outcome, const char* source);
     void update_neighbours();
--- a/src/process/agent_messages.ipp
+++ b/src/process/agent_messages.ipp
@@ -203,20 +203,13 @@
                                                const char* source)
 {
     const std::uint64_t number = value_number(bytes).value_or(0);
-    offer_outcome outcome =
-        this->gossip.values.judge(name, number, content_digest(bytes));
-    if (outcome == offer_outcome::accepted && source == std::string("platform"))
+    if (source == std::string_view("platform") &&
+        this->is_faulty(name, number, bytes))
     {
-        const std::string fault = check_value(name, bytes);
-        if (!fault.empty())
-        {
-            ++this->gossip.counters.values_refused;
-            this->report(log_level::error, "value_faulty",
-                         {{"value", name}, {"fault", fault}});
-            return;
-        }
+        return;
     }
-    outcome = this->gossip.values.offer(name, std::move(bytes));
+    const offer_outcome outcome =
+        this->gossip.values.offer(name, std::move(bytes));
     if (outcome != offer_outcome::accepted)
     {
         this->report_refusal(name, number, outcome, source);
@@ -233,6 +226,30 @@
     this->wake_sessions();
 }
 
+// Checks a value of the platform in full unless it would not be taken anyway;
+// reports the first fault.
+template <runtime Runtime, peer_transport Transport, platform_source Platform>
+bool agent<Runtime, Transport, Platform>::is_faulty(const std::string& name,
+                                                    std::uint64_t number,
+                                                    std::string_view bytes)
+{
+    const offer_outcome outcome =
+        this->gossip.values.judge(name, number, content_digest(bytes));
+    if (number != 0 && outcome != offer_outcome::accepted)
+    {
+        return false;
+    }
+    const std::string fault = check_value(name, bytes);
+    if (fault.empty())
+    {
+        return false;
+    }
+    ++this->gossip.counters.values_refused;
+    this->report(log_level::error, "value_faulty",
+                 {{"value", name}, {"number", number}, {"fault", fault}});
+    return true;
+}
+
 // Reports each refusal once, until another is refused.
 template <runtime Runtime, peer_transport Transport, platform_source Platform>
 void agent<Runtime, Transport, Platform>::report_refusal(
--- a/src/process/platform_watch.ipp
+++ b/src/process/platform_watch.ipp
@@ -87,6 +87,8 @@
     }
     if (failed)
     {
+        // The service may have begun to count anew: read the value whole.
+        this->revision.reset();
         co_await this->sleep(this->retry.next(this->owner.random()));
         co_return;
     }
--- a/test/agent_network.hpp
+++ b/test/agent_network.hpp
@@ -64,12 +64,12 @@
         co_await this->sleep(this->service.mode == platform_mode::slow ? 1500ms
                                                                        : 5ms);
         platform_reply reply;
-        while (this->service.mode != platform_mode::down)
+        while (this->service.mode != platform_mode::down && !this->cut)
         {
             const auto& value = this->service.values[name];
             if (this->service.mode == platform_mode::garbage)
             {
-                reply.content = {value.revision + 1, "\x01 garbage"};
+                reply.content = {value.revision + 1000, "\x01 garbage"};
                 co_return reply;
             }
             if (value.revision != after.value_or(0))
@@ -93,6 +93,9 @@
         return this->call_count;
     }
 
+    /// Whether this agent does not reach the platform.
+    bool cut = false;
+
 private:
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds time)
     {
@@ -135,6 +138,9 @@
     /// Messages pass only between addresses of the same side.
     std::map<peer_address, int> side;
     unsigned loss_percent = 0;
+
+    /// Time that every message takes, beside 1 to 3 ms.
+    std::chrono::milliseconds delay{0};
     std::uint64_t bytes = 0;
 
 private:
@@ -143,6 +149,7 @@
     {
         virtual_runtime::timer timer(this->owner.executor());
         timer.expires_after(
+            this->delay +
             std::chrono::microseconds(1000 + this->owner.random() % 2000));
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -189,6 +196,12 @@
     /// was ever told a lower one.
     std::uint64_t told = 0;
     bool reverted = false;
+
+    /// Number of the first document that the process was told.
+    std::uint64_t first = 0;
+
+    /// Digest of the state that the process was told last.
+    std::uint64_t digest = 0;
 };
 
 /// A fleet of agents `h0`, `h1`, ... in three failure domains.
@@ -255,21 +268,23 @@
             this->hear_state(index, message.state());
         };
         logic.start();
-        this->subscribe(index, 0);
+        this->subscribe(index);
     }
 
-    /// Sends a subscription of the host's process that holds this document.
-    void subscribe(std::size_t index, std::uint64_t number)
+    /// Sends a subscription of the host's process.
+    void subscribe(std::size_t index)
     {
+        const memory_host& one = *this->hosts.at(index);
         wire::Envelope envelope;
         auto& message = *envelope.mutable_subscribe();
-        if (number != 0)
+        message.set_digest(one.digest);
+        if (one.told != 0)
         {
             auto& held = *message.add_held();
             held.set_name("document");
-            held.set_number(number);
+            held.set_number(one.told);
         }
-        this->network.send(this->hosts.at(index)->process, agent_address(index),
+        this->network.send(one.process, agent_address(index),
                            std::move(envelope));
     }
 
@@ -295,9 +310,28 @@
         }
     }
 
+    /// Cuts some agents off from the platform.
+    void cut_from_platform(std::size_t first, std::size_t last, bool cut)
+    {
+        for (std::size_t i = first; i < last; ++i)
+        {
+            this->hosts.at(i)->platform.cut = cut;
+        }
+    }
+
     void run_for(virtual_clock::duration time)
     {
-        this->runtime.run_until(virtual_clock::now().time_since_epoch() + time);
+        const auto end = virtual_clock::now().time_since_epoch() + time;
+        while (virtual_clock::now().time_since_epoch() < end)
+        {
+            // The processes renew their subscriptions each second.
+            for (const auto& [index, one] : this->hosts)
+            {
+                this->subscribe(index);
+            }
+            this->runtime.run_until(std::min<virtual_clock::duration>(
+                end, virtual_clock::now().time_since_epoch() + 1s));
+        }
     }
 
     /// Number of the document in force at a host; 0 for none.
@@ -402,11 +436,13 @@
 
     void hear_state(std::size_t index, const wire::State& state)
     {
+        auto& one = *this->hosts.at(index);
+        one.digest = state.digest();
         const auto number = value_number(state.document());
         if (number)
         {
-            auto& one = *this->hosts.at(index);
             one.reverted |= *number < one.told;
+            one.first = one.first == 0 ? *number : one.first;
             one.told = *number;
         }
     }
