Relay: metrics

Cause: an operator could not see hedges, probes, slots or quarantines of a relay. No functional change.

--- a/src/process/relay_context.hpp
+++ b/src/process/relay_context.hpp
@@ -7,6 +7,7 @@
 #include "process/latency_tracker.hpp"
 #include "process/pause_watch.hpp"
 #include "process/quarantine_table.hpp"
+#include "process/relay_counts.hpp"
 #include "process/relay_policy.hpp"
 #include "process/slot_queue.hpp"
 
@@ -32,25 +33,6 @@
     static constexpr double first_retries = 10.0;
 };
 
-/// Counts of what became of calls and replies.
-struct relay_counts
-{
-    std::uint64_t queries = 0;
-    std::uint64_t first_attempts = 0;
-    std::uint64_t hedges = 0;
-    std::uint64_t retries = 0;
-    std::uint64_t probes = 0;
-    std::uint64_t cancels = 0;
-    std::uint64_t late_replies = 0;
-    std::uint64_t crossed_replies = 0;
-    std::uint64_t bad_replies = 0;
-    std::uint64_t executes = 0;
-    std::uint64_t leaves_lost = 0;
-    std::uint64_t silent_connections = 0;
-    std::uint64_t pauses = 0;
-    std::uint64_t put_aside = 0;
-};
-
 /// Lives as long as the process. Used on one thread.
 template <runtime Runtime, leaf_transport Transport>
 struct relay_context
--- a/src/process/relay_main.cpp
+++ b/src/process/relay_main.cpp
@@ -4,6 +4,7 @@
 #include "connection/peer_hub.hpp"
 #include "process/log.hpp"
 #include "process/relay.hpp"
+#include "process/relay_metrics.hpp"
 #include "process/relay_settings.hpp"
 #include "process/state_subscription.hpp"
 
@@ -34,9 +35,22 @@
 constexpr std::chrono::milliseconds shutdown_poll_interval = 20ms;
 constexpr std::chrono::milliseconds shutdown_quiet_time = 500ms;
 
-// Answers health checks.
-void serve_http(const relay_process& self, http_exchange& exchange)
+// Answers health checks and metrics.
+void serve_http(const relay_process& self, const peer_hub& hub,
+                relay_metrics& metrics, http_exchange& exchange)
 {
+    if (exchange.path == "/metrics")
+    {
+        const auto& shared = self.context;
+        const relay_load load{self.in_progress(), shared.slots->waiting(),
+                              shared.quarantines.size(shared.now())};
+        exchange.reply(
+            {200,
+             metrics.expose(shared.counts, load, shared.leaves, hub.traffic()),
+             std::string(metrics_registry::content_type),
+             {}});
+        return;
+    }
     const bool ready = self.context.state && self.context.state->configuration;
     if (exchange.path == "/healthz")
     {
@@ -135,13 +149,14 @@
         [&process](const std::shared_ptr<const system_state>& state)
         { process.apply(state); });
     subscription.start();
+    relay_metrics metrics;
     std::optional<http_server> server;
     if (!settings.http_listen.empty())
     {
         server.emplace(context,
                        http_server_options{.address = settings.http_listen},
-                       [&process](const std::shared_ptr<http_exchange>& one)
-                       { serve_http(process, *one); });
+                       [&](const std::shared_ptr<http_exchange>& one)
+                       { serve_http(process, hub, metrics, *one); });
     }
     boost::asio::co_spawn(context, run_until_stopped(context, process, hub),
                           boost::asio::detached);
