--- a/bench/load/load_run.cpp
+++ b/bench/load/load_run.cpp
@@ -5,7 +5,6 @@
 #include "load/load_plan.hpp"
 
 #include <algorithm>
-#include <functional>
 #include <iterator>
 #include <thread>
 
@@ -15,8 +14,6 @@
 namespace
 {
 
-using time_point = std::chrono::steady_clock::time_point;
-
 // Time for all threads to come to the start together.
 constexpr milliseconds start_delay{50};
 
@@ -32,10 +29,11 @@
     return shares;
 }
 
-// Runs all workers at the same time, and `meanwhile` beside them.
+// Runs all workers at the same time, and the plan's actions beside them.
 template <class Worker>
-run_record run_workers(const std::vector<std::unique_ptr<Worker>>& workers,
-                       const std::function<void(time_point)>& meanwhile)
+run_record run_workers(const load_plan& plan,
+                       const std::vector<std::unique_ptr<Worker>>& workers,
+                       const std::string& control)
 {
     std::ranges::for_each(workers,
                           [](const auto& worker) { worker->prepare(); });
@@ -46,7 +44,10 @@
     {
         running.emplace_back([&worker, start] { worker->run(start); });
     }
-    meanwhile(start);
+    if (!control.empty())
+    {
+        control_channel(control).run_actions(plan.actions, start);
+    }
     running.clear();
     run_record record;
     record.start =
@@ -72,18 +73,12 @@
         workers.push_back(std::make_unique<load_worker>(
             plan, options, std::move(share), seed));
     }
-    const auto act = [&plan, &control](time_point start)
-    {
-        if (!control.empty())
-        {
-            control_channel(control).run_actions(plan.actions, start);
-        }
-    };
-    return run_workers(workers, act);
+    return run_workers(plan, workers, control);
 }
 
 run_record run_direct(const load_plan& plan, const document& configuration,
-                      const target_list& targets, std::size_t threads)
+                      const target_list& targets, std::size_t threads,
+                      const std::string& control)
 {
     std::vector<std::unique_ptr<direct_worker>> workers;
     for (auto& share : deal(make_arrivals(plan), threads))
@@ -92,7 +87,7 @@
         workers.push_back(std::make_unique<direct_worker>(
             plan, configuration, targets, std::move(share), seed));
     }
-    return run_workers(workers, [](time_point) {});
+    return run_workers(plan, workers, control);
 }
 
 } // namespace basilpath::load
--- a/bench/load/load_run.hpp
+++ b/bench/load/load_run.hpp
@@ -32,7 +32,8 @@
 [[nodiscard]] run_record run_direct(const load_plan& plan,
                                     const document& configuration,
                                     const target_list& targets,
-                                    std::size_t threads);
+                                    std::size_t threads,
+                                    const std::string& control);
 
 /// Runs a plan from `threads` threads; blocks until every request has ended.
 /// Actions of the plan are posted to the stand-in at `control`, an address or
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -151,7 +151,7 @@
     const auto targets = read_published_targets(channel);
     const run_record record =
         FLAGS_direct && targets
-            ? run_direct(plan, *before, *targets, FLAGS_threads)
+            ? run_direct(plan, *before, *targets, FLAGS_threads, FLAGS_control)
             : run_load(plan, options, FLAGS_threads, FLAGS_control);
     std::this_thread::sleep_for(settle_time);
     const auto seen = read_record(channel, record.start);
--- a/scripts/experiment_plans.py
+++ b/scripts/experiment_plans.py
@@ -73,26 +73,43 @@
 CREST = ["crest/browse/served", "crest/stock-check/served", "crest/stock-check/refused",
          "crest/worth_served", "crest/of_oracle", "run/of_oracle", "crest/stock-check/p99_ms",
          "run/sent_late_p99_ms"]
+POISON = """
+[mix poison]
+service = catalogue
+class = browse
+worth = 1
+rate = 4
+deadline_ms = 400
+poison = yes
+repeat_share = 1
+"""
 UNDER_FAULT = ["run/stock-check/coverage", "run/stock-check/p99_ms", "run/stock-check/served",
                "run/order/served", "run/order/failed", "run/worth_served", "extra_load"]
 
 
-def fault(at_ms, body, name="fault"):
-    """An action that posts a fault to the stand-in."""
-    return f"[action {name}{at_ms}]\nat_ms = {at_ms}\npath = /standin/fault\nbody = {body}\n"
+def fault(members):
+    """Actions that post a fault to leaves of both services at 2 s."""
+    return "".join(
+        f"[action {service}]\nat_ms = 2000\npath = /standin/fault\n"
+        f'body = {{"service":"{service}","seed":3,{members}}}\n'
+        for service in ["catalogue", "order-desk"])
 
 
 FAULTS = {
-    "slow": {"plan": fault(2000, '{"share":0.1,"seed":3,"kind":"slow","factor":10}')},
-    "silent": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"drop_silently"}')},
-    "drop": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"drop_connection","chance":0.1}')},
-    "crash": {"plan": fault(2000, '{"share":0.1,"seed":7,"kind":"crash","for_ms":1000}')},
-    "busy": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"busy","chance":0.5}')},
-    "garbage": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"garbage","chance":0.2}')},
-    "wrong-echo": {"plan": fault(2000, '{"share":0.2,"seed":5,"kind":"wrong_echo","chance":0.2}')},
-    "wrong-version": {"plan": fault(
-        2000, '{"share":0.2,"seed":5,"kind":"wrong_version","chance":0.2}')},
-    "drain": {"plan": fault(2000, '{"share":0.1,"seed":9,"kind":"drain"}')},
+    "slow": {"plan": fault('"share":0.2,"kind":"slow","factor":10')},
+    "silent": {"plan": fault('"share":0.2,"kind":"drop_silently"')},
+    "drop": {"plan": fault('"share":0.2,"kind":"drop_connection","chance":0.1')},
+    "no-reply": {"plan": fault('"share":0.2,"kind":"drop_reply","chance":0.1')},
+    "crash": {"plan": fault('"share":0.2,"kind":"crash","for_ms":1000')},
+    "stall": {"plan": fault('"share":0.2,"kind":"stall","for_ms":1500')},
+    "busy": {"plan": fault('"share":0.2,"kind":"busy","chance":0.5')},
+    "garbage": {"plan": fault('"share":0.2,"kind":"garbage","chance":0.1')},
+    "truncate": {"plan": fault('"share":0.2,"kind":"truncate","chance":0.1')},
+    "wrong-echo": {"plan": fault('"share":0.2,"kind":"wrong_echo","chance":0.1')},
+    "wrong-version": {"plan": fault('"share":0.2,"kind":"wrong_version","chance":0.1')},
+    "duplicate": {"plan": fault('"share":0.2,"kind":"late_duplicate","chance":0.2')},
+    "drain": {"plan": fault('"share":0.15,"kind":"drain"')},
+    "poison": {"plan": fault('"share":1.0,"kind":"crash_on_mark"') + POISON},
     "platform-down": {"plan": "[action down]\nat_ms = 1500\npath = /standin/platform\n"
                               'body = {"mode":"down"}\n'},
     "relay-killed": {"signals": [(3500, "relay-host-2", "KILL")]},
@@ -160,9 +177,26 @@
         "show": CREST},
     "faults": {
         "about": "Every fault alone.", "deployment": "prairie-grit", "hosts": 3, "plan": MIXED,
-        "arms": {"none": {}, **FAULTS}, "show": UNDER_FAULT},
+        "load": ["--callers", "12"], "arms": {"none": {}, **FAULTS}, "show": UNDER_FAULT},
+    "novel-queries": {
+        "about": "Queries that were never seen against queries known to be harmless.",
+        "deployment": "prairie-grit", "hosts": 3,
+        "plan": BROWSE.format(browse=80, stock=0).replace("repeat_share = 0.2", "repeat_share = 0"),
+        "arms": {"direct": {"load": ["--direct"]}, "novel": {},
+                 "repeated": {"replace": ("repeat_share = 0", "repeat_share = 1")},
+                 "repeated-no-gathering": {"replace": ("repeat_share = 0", "repeat_share = 1"),
+                                           "set": ["relay:policy.gather_us=0"]}},
+        "show": ["run/browse/p50_ms", "run/browse/p99_ms", "run/browse/coverage",
+                 "run/sent_late_p99_ms", "processor_s/entry", "processor_s/relay"]},
+    "relay-cost": {
+        "about": "Processor time of one relay at many leaf calls a second, 1 ms service time.",
+        "deployment": "prairie-grit", "hosts": 1, "standin": ["--service_ms=1"],
+        "plan": BROWSE.format(browse=150, stock=50), "arms": {
+            "4000": {}, "8000": {"load": ["--rate_factor", "2"]}},
+        "show": STEADY},
     "fault-pairs": {
         "about": "Faults two at a time.", "deployment": "prairie-grit", "hosts": 3, "plan": MIXED,
+        "load": ["--callers", "12"],
         "arms": {f"{one}+{other}": pair(one, other) for one, other in PAIRS},
         "show": UNDER_FAULT},
 }
