Mend a lint fault of the diff test

Change: the loop counts in 64 bits; the test asserts the same on the same kind of documents. No functional change.

--- a/test/document_diff_test.cpp
+++ b/test/document_diff_test.cpp
@@ -75,8 +75,8 @@
         const auto make = [&](int number)
         {
             std::string text = basilpath::test::make_document_text(number);
-            const int classes = static_cast<int>(random() % 4);
-            for (int i = 0; i < classes; ++i)
+            const std::uint64_t classes = random() % 4;
+            for (std::uint64_t i = 0; i < classes; ++i)
             {
                 text += fmt::format("[class k{}]\nservice = s\nworth = {}\n"
                                     "deadline_ms = 10\nobjective_ms = 10\n",
