--- a/src/process/burn_tracker.cpp
+++ b/src/process/burn_tracker.cpp
@@ -13,8 +13,8 @@
 constexpr std::size_t class_limit = 1'000;
 constexpr const char* overflow_class = "other";
 
-// Tells whether a request counts as served or not at all; requests count
-// unless their caller got them wrong or went away in time.
+// Tells whether a request counts, served or not: it does unless its caller got
+// it wrong or went away in time.
 bool counts(const request_class& owner, const burn_outcome& outcome)
 {
     const auto number = static_cast<unsigned>(outcome.code);
--- a/src/process/state_subscription.cpp
+++ b/src/process/state_subscription.cpp
@@ -2,7 +2,7 @@
 
 #include "connection/peer_hub.hpp"
 #include "process/log.hpp"
-#include "version/document_parser.hpp"
+#include "version/acceptance.hpp"
 #include "version/value_sections.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -183,20 +183,16 @@
     {
         return;
     }
-    const parsed_document parsed = parse_document(bytes);
-    if (!parsed.value)
+    const acceptance judged = judge_document(bytes, next.configuration);
+    if (judged.verdict != acceptance_verdict::accepted)
     {
-        log_event(log_level::error, "document_faulty",
-                  {{"line", parsed.faults.front().line},
-                   {"reason", parsed.faults.front().message}});
+        log_event(
+            log_level::error, "document_refused",
+            {{"verdict", name_of(judged.verdict)}, {"reason", judged.reason}});
         return;
     }
-    const std::uint64_t number = parsed.value->number.value;
-    if (may_replace("document", this->held_document.number, number))
-    {
-        next.configuration = parsed.value;
-        this->held_document = {number, offered};
-    }
+    next.configuration = judged.in_force;
+    this->held_document = {judged.in_force->number.value, offered};
 }
 
 // Takes a target list when it is new, sound and higher than the one held.
