Relay: read replies without building a tree

Cause: a relay at saturation spent 101 to 158 us of processor a leaf call, and its profile showed the JSON tree of each reply built, dumped and freed. Change: the parser's events check the reply and the items are handed on as the leaf wrote them.

--- a/src/request/leaf_call.cpp
+++ b/src/request/leaf_call.cpp
@@ -1,11 +1,13 @@
 #include "request/leaf_call.hpp"
 
 #include "connection/http_client.hpp"
+#include "request/leaf_reply.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace basilpath
 {
@@ -22,46 +24,28 @@
 }
 
 // Tells whether a reply names the call it answers.
-bool echoes(const json& body, const leaf_call& call)
+bool echoes(const leaf_reply& reply, const leaf_call& call)
 {
-    return body.value("request", "") == call.request.value &&
-           body.value("attempt", 0U) == call.attempt.value &&
-           body.value("service", "") == call.service.value &&
-           body.value("version", std::uint64_t{0}) == call.version.value &&
-           body.value("shard", ~0U) == call.shard.value;
-}
-
-// Tells whether the echo has the documented types.
-bool well_formed(const json& body)
-{
-    const auto is_text = [&body](const char* key)
-    {
-        return body.contains(key) && body[key].is_string();
-    };
-    const auto is_number = [&body](const char* key)
-    {
-        return body.contains(key) && body[key].is_number_unsigned();
-    };
-    return body.is_object() && is_text("request") && is_number("attempt") &&
-           is_text("service") && is_number("version") && is_number("shard") &&
-           body.contains("items") && body["items"].is_array() &&
-           std::ranges::all_of(body["items"], &json::is_object);
+    return reply.request == call.request.value &&
+           reply.attempt == call.attempt.value &&
+           reply.service == call.service.value &&
+           reply.version == call.version.value &&
+           reply.shard == call.shard.value;
 }
 
 // Judges a body that came with status 200.
 leaf_answer judge_body(const leaf_call& call, const std::string& text)
 {
-    const json body = json::parse(text, nullptr, false);
-    if (body.is_discarded() || !well_formed(body))
+    std::optional<leaf_reply> reply = read_leaf_reply(text);
+    if (!reply)
     {
         return {leaf_verdict::bad_reply, ""};
     }
-    if (!echoes(body, call))
+    if (!echoes(*reply, call))
     {
         return {leaf_verdict::crossed, ""};
     }
-    return {leaf_verdict::served,
-            body["items"].dump(-1, ' ', false, json::error_handler_t::replace)};
+    return {leaf_verdict::served, std::move(reply->items)};
 }
 
 } // namespace
