--- a/src/request/leaf_attempt.ipp
+++ b/src/request/leaf_attempt.ipp
@@ -212,7 +212,7 @@
 run_leaf_attempt(relay_context<Runtime, Transport>& context,
                  leaf_attempt<Runtime> attempt, slot_lease<Runtime> slot)
 {
-    const std::shared_ptr<leaf_state> leaf = slot.leaf();
+    const std::shared_ptr<leaf_state>& leaf = slot.leaf();
     const instant started = context.now();
     http_request request;
     request.url = "/v1/leaf";
--- a/src/request/shard_call.hpp
+++ b/src/request/shard_call.hpp
@@ -95,7 +95,8 @@
                                              lease slot);
     void probe();
     [[nodiscard]] leaf_call make_call();
-    [[nodiscard]] leaf_attempt<Runtime> make_attempt(leaf_call call) const;
+    [[nodiscard]] leaf_attempt<Runtime>
+    make_attempt(const leaf_call& call) const;
     [[nodiscard]] standing known() const;
     void hedge();
     bool take_result(const attempt_result& result);
--- a/src/request/shard_call.ipp
+++ b/src/request/shard_call.ipp
@@ -203,14 +203,14 @@
 
 template <runtime Runtime, leaf_transport Transport>
 leaf_attempt<Runtime>
-shard_call<Runtime, Transport>::make_attempt(leaf_call call) const
+shard_call<Runtime, Transport>::make_attempt(const leaf_call& call) const
 {
     leaf_attempt<Runtime> made;
     made.print = this->work->print;
     made.sent_as = this->known();
     made.replicas = this->replicas;
     made.timeout = call.budget + shard_call_limits::reply_grace;
-    made.call = std::move(call);
+    made.call = call;
     return made;
 }
 
