--- a/src/process/agent_main.cpp
+++ b/src/process/agent_main.cpp
@@ -128,6 +128,26 @@
         this->logic->stop();
     }
 
+    // Writes the counters of the process to the log.
+    void log_counters() const
+    {
+        const peer_traffic& traffic = this->hub.traffic();
+        const gossip_counters& counters = this->logic->state().counters;
+        log_event(log_level::info, "counters",
+                  {{"messages_sent", traffic.messages_sent},
+                   {"messages_received", traffic.messages_received},
+                   {"bytes_sent", traffic.bytes_sent},
+                   {"bytes_received", traffic.bytes_received},
+                   {"dropped", traffic.dropped},
+                   {"links", this->hub.links()},
+                   {"neighbours", this->logic->neighbours()},
+                   {"platform_calls", this->platform.calls()},
+                   {"digests_sent", counters.digests_sent},
+                   {"section_bytes", counters.section_bytes_received},
+                   {"declared_dead", counters.declared_dead},
+                   {"own_pauses", counters.own_pauses}});
+    }
+
     agent_process(const agent_process&) = delete;
     agent_process& operator=(const agent_process&) = delete;
 
@@ -142,6 +162,21 @@
     peer_hub hub;
 };
 
+// Writes the counters each time the process gets SIGUSR1.
+void log_on_signal(boost::asio::signal_set& signals,
+                   const agent_process& process)
+{
+    signals.async_wait(
+        [&signals, &process](const auto& failed, int)
+        {
+            if (!failed)
+            {
+                process.log_counters();
+                log_on_signal(signals, process);
+            }
+        });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -166,7 +201,10 @@
         const agent_process process(context, settings);
         boost::asio::signal_set signals(context, SIGTERM, SIGINT);
         signals.async_wait([&context](auto, int) { context.stop(); });
+        boost::asio::signal_set counter_signals(context, SIGUSR1);
+        log_on_signal(counter_signals, process);
         context.run();
+        process.log_counters();
         log_event(log_level::info, "stopped", {});
     }
     catch (const std::exception& failure)
--- a/test/agent_network.hpp
+++ b/test/agent_network.hpp
@@ -247,6 +247,7 @@
         agent_options options;
         options.id = host_id(fmt::format("h{}", index));
         options.start = incarnation(this->runtime.random());
+        options.seeds = this->seeds;
         auto& slot = this->hosts[index];
         slot = std::make_unique<memory_host>(memory_host{
             memory_platform_client(this->runtime, this->platform),
@@ -411,6 +412,9 @@
     memory_network network;
     memory_platform platform;
     std::size_t size;
+
+    /// Agents that those started from now on ask first.
+    std::vector<peer_address> seeds;
     std::map<std::size_t, std::unique_ptr<memory_host>> hosts;
 
     /// The events of all agents, one a line.
--- a/test/agent_test.cpp
+++ b/test/agent_test.cpp
@@ -261,6 +261,18 @@
     CHECK(fleet.with_dead() == 0);
 }
 
+TEST_CASE("a host that starts while the platform is down is fed by its peers")
+{
+    memory_fleet fleet(8);
+    settle(fleet);
+    fleet.platform.mode = platform_mode::down;
+    fleet.seeds = {memory_fleet::agent_address(0)};
+    fleet.kill(3);
+    fleet.start(3);
+    fleet.run_for(5s);
+    CHECK(fleet.told(1) == 8);
+}
+
 TEST_CASE("neither peers nor platform: nothing is told, later what is found")
 {
     memory_fleet fleet(4);
