--- a/src/process/agent_main.cpp
+++ b/src/process/agent_main.cpp
@@ -1,9 +1,11 @@
 /// basilpath-agent: reads the platform and tells the processes of its host
 /// what is in force.
 #include "connection/http_client.hpp"
+#include "connection/http_server.hpp"
 #include "connection/peer_hub.hpp"
 #include "connection/platform_client.hpp"
 #include "process/agent.hpp"
+#include "process/agent_metrics.hpp"
 #include "process/log.hpp"
 #include "process/settings.hpp"
 
@@ -13,6 +15,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <optional>
 #include <random>
 #include <ranges>
 #include <sstream>
@@ -40,6 +43,7 @@
     std::string platform;
     std::string level = "info";
     std::string seeds;
+    std::string http;
     std::int64_t start_spread_ms = 200;
 };
 
@@ -52,6 +56,7 @@
     reader.text("host.domain", &settings.domain);
     reader.address("peer.listen", &settings.listen, true);
     reader.address("platform.address", &settings.platform);
+    reader.address("http.listen", &settings.http, true);
     reader.text("peer.seeds", &settings.seeds);
     reader.integer("platform.start_spread_ms", 0, 60'000,
                    &settings.start_spread_ms);
@@ -118,6 +123,13 @@
                std::initializer_list<log_field> fields)
             { log_event(level, event, fields); });
         this->logic->start();
+        if (!settings.http.empty())
+        {
+            this->server.emplace(
+                context, http_server_options{settings.http, 1},
+                [this](const std::shared_ptr<http_exchange>& exchange)
+                { this->serve(*exchange); });
+        }
         log_event(log_level::info, "started",
                   {{"peer", this->hub.address().value},
                    {"incarnation", this->start.value}});
@@ -152,6 +164,38 @@
     agent_process& operator=(const agent_process&) = delete;
 
 private:
+    // Answers health checks and metrics.
+    void serve(http_exchange& exchange)
+    {
+        const bool ready = this->logic->state().ready;
+        if (exchange.path == "/metrics")
+        {
+            const agent_figures figures{
+                this->logic->neighbours(), this->logic->subscribers(),
+                this->hub.links(), this->platform.calls()};
+            exchange.reply({200,
+                            this->metrics.expose(this->logic->state(),
+                                                 this->hub.traffic(), figures),
+                            std::string(metrics_registry::content_type),
+                            {}});
+        }
+        else if (exchange.path == "/healthz")
+        {
+            exchange.reply({200, "ok\n", "text/plain", {}});
+        }
+        else if (exchange.path == "/readyz")
+        {
+            exchange.reply({ready ? 200 : 503,
+                            ready ? "ready\n" : "not ready\n",
+                            "text/plain",
+                            {}});
+        }
+        else
+        {
+            exchange.reply({404, "no such path\n", "text/plain", {}});
+        }
+    }
+
     using agent_type = agent<real_runtime, peer_hub, platform_client>;
 
     real_runtime runtime;
@@ -160,6 +204,8 @@
     incarnation start;
     std::shared_ptr<agent_type> logic;
     peer_hub hub;
+    agent_metrics metrics;
+    std::optional<http_server> server;
 };
 
 // Writes the counters each time the process gets SIGUSR1.
