Know at once that a peer's process has ended

Change: nng tells when a link's connection comes and goes; a peer without one is unresponsive at once, what is queued for it is dropped, and entries ask the next owner at their next check (20 ms). The time a message waits before it is sent now counts as delay. Conclusion: test "a peer whose process has ended is known before any silence" failed before.

--- a/src/connection/peer_hub.cpp
+++ b/src/connection/peer_hub.cpp
@@ -106,7 +106,8 @@
             this->delays[from].observe(microseconds(batch.sent_us()));
         for (wire::Envelope& one : *batch.mutable_envelopes())
         {
-            one.set_delay_us(static_cast<std::uint64_t>(delay.count()));
+            one.set_delay_us(one.delay_us() +
+                             static_cast<std::uint64_t>(delay.count()));
             this->handle(from, incarnation(batch.incarnation()),
                          std::move(one));
         }
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t batch_limit_messages = 256;
 constexpr std::chrono::milliseconds queued_time_limit = 400ms;
 constexpr std::chrono::milliseconds pause_limit = 300ms;
+constexpr std::chrono::milliseconds dial_grace = 150ms;
 constexpr nng_duration redial_least_ms = 20;
 constexpr nng_duration redial_most_ms = 300;
 constexpr nng_duration send_timeout_ms = 300;
@@ -104,8 +105,16 @@
 bool peer_link::responsive() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return !this->awaiting_answer ||
-           now - this->asked_at < this->options.silence_limit;
+    const bool silent = this->awaiting_answer &&
+                        now - this->asked_at >= this->options.silence_limit;
+    return this->connected() && !silent;
+}
+
+// Tells whether the link stands, or may still come to stand after a dial.
+bool peer_link::connected() const
+{
+    return this->pipes > 0 ||
+           std::chrono::steady_clock::now() - this->dialled_at < dial_grace;
 }
 
 std::size_t peer_link::queued() const
@@ -235,6 +244,10 @@
         queued_message& first = this->queue.front();
         if (now - first.since <= queued_time_limit)
         {
+            const auto waited =
+                std::chrono::duration_cast<microseconds>(now - first.since);
+            first.message.set_delay_us(
+                static_cast<std::uint64_t>(waited.count()));
             *batch.add_envelopes() = std::move(first.message);
         }
         else
@@ -253,9 +266,49 @@
     nng_socket_set_int(this->socket, NNG_OPT_SENDBUF, 0);
     nng_socket_set_ms(this->socket, NNG_OPT_RECONNMINT, redial_least_ms);
     nng_socket_set_ms(this->socket, NNG_OPT_RECONNMAXT, redial_most_ms);
+    this->watch_pipes();
+    this->dialled_at = std::chrono::steady_clock::now();
     nng_dial(this->socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
 }
 
+// Has nng tell when the link comes to stand and when it is lost, so that a peer
+// whose process has ended is known at once.
+void peer_link::watch_pipes()
+{
+    const auto changed = [](nng_pipe, nng_pipe_ev event, void* user)
+    {
+        auto& link = *static_cast<peer_link*>(user);
+        const bool added = event == NNG_PIPE_EV_ADD_POST;
+        boost::asio::post(link.context,
+                          [weak = link.weak_from_this(), added]
+                          {
+                              if (const auto alive = weak.lock())
+                              {
+                                  alive->pipe_changed(added);
+                              }
+                          });
+    };
+    nng_pipe_notify(this->socket, NNG_PIPE_EV_ADD_POST, changed, this);
+    nng_pipe_notify(this->socket, NNG_PIPE_EV_REM_POST, changed, this);
+}
+
+// Counts the connections of the link. The peer has shown that it is alive when
+// one is made.
+void peer_link::pipe_changed(bool added)
+{
+    this->pipes += added ? 1 : -1;
+    if (added)
+    {
+        this->heard();
+    }
+    else if (this->pipes == 0 && !this->stopped)
+    {
+        this->queue.clear();
+        log_event(log_level::info, "peer_disconnected",
+                  {{"peer", this->to.value}});
+    }
+}
+
 void peer_link::hang_up()
 {
     nng_close(this->socket);
--- a/src/connection/peer_link.hpp
+++ b/src/connection/peer_link.hpp
@@ -39,7 +39,8 @@
     /// Notes that something was received from the peer.
     void heard();
 
-    /// Tells whether the peer has answered lately or has nothing to answer.
+    /// Tells whether the peer is connected, or has only just been dialled, and
+    /// has answered lately or has nothing to answer.
     [[nodiscard]] bool responsive() const;
 
     [[nodiscard]] std::size_t queued() const;
@@ -64,6 +65,9 @@
     void check_silence();
     void dial();
     void hang_up();
+    void watch_pipes();
+    void pipe_changed(bool added);
+    [[nodiscard]] bool connected() const;
 
     boost::asio::io_context& context;
     peer_address to;
@@ -76,9 +80,11 @@
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     nng_aio* aio = nullptr;
     std::function<void(int)> on_sent;
+    int pipes = 0;
     bool stopped = false;
     bool awaiting_answer = false;
     time_point asked_at;
+    time_point dialled_at;
     time_point heard_at;
     time_point used_at;
 };
--- a/test/peer_hub_test.cpp
+++ b/test/peer_hub_test.cpp
@@ -68,4 +68,30 @@
                     }));
 }
 
+TEST_CASE("a peer whose process has ended is known before any silence")
+{
+    constexpr peer_hub_options patient{20ms, 3'600'000ms, 3'600'000ms,
+                                       3'600'000ms};
+    boost::asio::io_context context(1);
+    int received = 0;
+    const auto count =
+        [&received](const peer_address&, incarnation, const wire::Envelope&)
+    {
+        ++received;
+    };
+    peer_hub sender(context, peer_address("127.0.0.1:0"), incarnation(1), count,
+                    patient);
+    auto other = std::make_unique<peer_hub>(
+        context, peer_address("127.0.0.1:0"), incarnation(2), count, patient);
+    const peer_address address = other->address();
+    wire::Envelope envelope;
+    envelope.mutable_soft();
+    CHECK(sender.send(address, envelope));
+    REQUIRE(run_until(context, [&] { return received > 0; }));
+    other.reset();
+    CHECK(run_until(context, [&] { return !sender.responsive(address); }));
+    CHECK_FALSE(sender.send(address, envelope));
+    CHECK(sender.queued() == 0);
+}
+
 } // namespace
