Ask a peer for a sign of life as soon as a message goes unanswered

Cause: a paused relay was found after 500 ms or more, later than most deadlines. Change: a link asks after 50 ms in which a message had nothing after it, and holds the peer for unresponsive 250 ms later; a link on which all is answered asks once a second instead of ten times.

--- a/src/connection/peer_hub.hpp
+++ b/src/connection/peer_hub.hpp
@@ -41,18 +41,22 @@
 /// How a hub looks after its links.
 struct peer_hub_options
 {
-    /// A used link that has heard nothing for so long asks for a sign of life.
-    std::chrono::milliseconds heartbeat_interval{100};
+    /// A link on which a message has had nothing after it for so long asks for
+    /// a sign of life.
+    std::chrono::milliseconds heartbeat_interval{50};
 
     /// A peer that has not answered for so long is unresponsive; after twice
     /// that its link is made anew.
-    std::chrono::milliseconds silence_limit{400};
+    std::chrono::milliseconds silence_limit{250};
 
     /// A link that nothing was sent on for so long is unused.
     std::chrono::milliseconds idle_limit{10'000};
 
     /// An unused link is closed after so long.
     std::chrono::milliseconds close_limit{60'000};
+
+    /// A used link on which everything was answered asks after so long.
+    std::chrono::milliseconds idle_heartbeat{1'000};
 };
 
 /// Hears messages at one address and keeps one task and one link for each
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -84,6 +84,7 @@
         // Also when nothing can be sent: as long as the peer is wanted, the
         // link keeps asking whether it is back.
         this->used_at = now;
+        this->unanswered_since = this->unanswered_since.value_or(now);
     }
     if (this->stopped || !this->responsive() ||
         this->queue.size() >= queue_limit_messages)
@@ -100,6 +101,7 @@
 {
     this->heard_at = std::chrono::steady_clock::now();
     this->awaiting_answer = false;
+    this->unanswered_since.reset();
 }
 
 bool peer_link::responsive() const
@@ -185,14 +187,11 @@
     {
         return;
     }
-    if (!this->awaiting_answer &&
-        now - this->heard_at >= this->options.heartbeat_interval)
+    if (this->heartbeat_due(now))
     {
         this->awaiting_answer = true;
         this->asked_at = now;
-        wire::Envelope question;
-        question.mutable_heartbeat();
-        this->queue.push_back({std::move(question), now});
+        this->ask();
     }
     else if (this->awaiting_answer &&
              now - this->asked_at > 2 * this->options.silence_limit)
@@ -202,12 +201,33 @@
         this->hang_up();
         this->dial();
         this->asked_at = now - this->options.silence_limit;
-        wire::Envelope question;
-        question.mutable_heartbeat();
-        this->queue.push_back({std::move(question), now});
+        this->ask();
     }
 }
 
+// Tells whether the peer should be asked: soon when a message has had nothing
+// after it, now and then when all is answered.
+bool peer_link::heartbeat_due(time_point now) const
+{
+    if (this->awaiting_answer)
+    {
+        return false;
+    }
+    return this->unanswered_since
+               ? now - *this->unanswered_since >=
+                     this->options.heartbeat_interval
+               : now - this->heard_at >= this->options.idle_heartbeat;
+}
+
+// Queues a question for a sign of life.
+void peer_link::ask()
+{
+    wire::Envelope question;
+    question.mutable_heartbeat();
+    this->queue.push_back(
+        {std::move(question), std::chrono::steady_clock::now()});
+}
+
 // Hands a message to nng; the result is 0 when nng has taken it over.
 boost::asio::awaitable<int> peer_link::transmit(nng_msg* message)
 {
--- a/src/connection/peer_link.hpp
+++ b/src/connection/peer_link.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace basilpath
 {
@@ -63,6 +64,8 @@
     boost::asio::awaitable<int> transmit(nng_msg* message);
     wire::Batch take_batch();
     void check_silence();
+    void ask();
+    [[nodiscard]] bool heartbeat_due(time_point now) const;
     void dial();
     void hang_up();
     void watch_pipes();
@@ -87,6 +90,7 @@
     time_point dialled_at;
     time_point heard_at;
     time_point used_at;
+    std::optional<time_point> unanswered_since;
 };
 
 } // namespace basilpath
