--- a/src/process/admission_gate.hpp
+++ b/src/process/admission_gate.hpp
@@ -3,6 +3,7 @@
 
 #include "process/admission_limit.hpp"
 #include "process/runtime.hpp"
+#include "process/worth_demand.hpp"
 #include "request/mailbox.hpp"
 #include "version/ids.hpp"
 
@@ -27,8 +28,9 @@
 
 /// Requests that find the limit reached wait for a bounded time. The one of
 /// the most worth is admitted first, among equals the one that came last: it
-/// has the most of its time left. One gate for each service of a process; used
-/// on the runtime's thread only.
+/// has the most of its time left. Places that requests of more worth will need,
+/// going by how many came lately, are kept free of those of less. One gate for
+/// each service of a process; used on the runtime's thread only.
 template <runtime Runtime, admission_limit Limit>
 class admission_gate
     : public std::enable_shared_from_this<admission_gate<Runtime, Limit>>
@@ -62,12 +64,11 @@
         /// Tells the limit how the request went.
         void report(microseconds waited, bool complete)
         {
-            const auto now = Runtime::clock::now();
+            const auto took = std::chrono::duration_cast<microseconds>(
+                Runtime::clock::now() - this->since);
+            this->owner->demand.took(took);
             this->owner->limit.learn(
-                {waited, complete, this->in_progress,
-                 std::chrono::duration_cast<microseconds>(now - this->since)},
-                std::chrono::duration_cast<microseconds>(
-                    now.time_since_epoch()));
+                {waited, complete, this->in_progress, took}, now_us());
         }
 
     private:
@@ -86,7 +87,8 @@
                                                         time_point until)
     {
         const auto self = this->shared_from_this();
-        if (this->waiters.empty() && this->in_progress < this->limit.limit())
+        this->demand.arrived(value, now_us());
+        if (this->has_place(value) && !this->waits_as_much(value))
         {
             co_return this->admit();
         }
@@ -142,6 +144,26 @@
         bool admitted = false;
     };
 
+    // The present time since the clock's epoch.
+    static microseconds now_us()
+    {
+        return std::chrono::duration_cast<microseconds>(
+            Runtime::clock::now().time_since_epoch());
+    }
+
+    // Tells whether a place is free that no request of more worth will need.
+    bool has_place(worth value)
+    {
+        const auto kept = this->demand.places_above(value, now_us());
+        return this->in_progress + kept < this->limit.limit();
+    }
+
+    // Tells whether a request of as much worth waits already.
+    bool waits_as_much(worth value) const
+    {
+        return !this->waiters.empty() && this->waiters.front()->value >= value;
+    }
+
     // Takes a place at once.
     std::optional<ticket> admit()
     {
@@ -165,7 +187,7 @@
     {
         --this->in_progress;
         while (!this->waiters.empty() &&
-               this->in_progress < this->limit.limit())
+               this->has_place(this->waiters.front()->value))
         {
             const auto first = this->waiters.front();
             this->waiters.pop_front();
@@ -177,6 +199,7 @@
 
     Runtime& clockwork;
     Limit limit;
+    worth_demand demand;
     std::list<std::shared_ptr<waiter>> waiters;
     std::size_t in_progress = 0;
     gate_counters counts;
--- a/src/process/admission_limit.cpp
+++ b/src/process/admission_limit.cpp
@@ -1,6 +1,7 @@
 #include "process/admission_limit.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace basilpath
 {
@@ -8,12 +9,15 @@
 namespace
 {
 
-constexpr double limit_at_start = 32.0;
+constexpr double limit_at_start = 16.0;
 constexpr double limit_least = 2.0;
 constexpr double limit_most = 4096.0;
-constexpr double shrink_factor = 0.85;
-constexpr double wait_smoothing = 0.1;
+constexpr double least_fall = 0.4;
+constexpr double smoothing = 0.2;
 constexpr double in_use_share = 0.7;
+constexpr double room_above_use = 2.0;
+constexpr double room_least = 6.0;
+constexpr std::chrono::seconds use_window{5};
 
 } // namespace
 
@@ -29,21 +33,56 @@
 
 void wait_limit::learn(const admission_sample& sample, microseconds now)
 {
+    this->note_use(sample.in_progress, now);
+    if (now - sample.took < this->fallen_at)
+    {
+        return;
+    }
     const auto waited = static_cast<double>(sample.waited.count());
-    this->smoothed_wait += wait_smoothing * (waited - this->smoothed_wait);
-    const bool long_wait =
-        this->smoothed_wait > static_cast<double>(this->target.count());
-    if (long_wait && now - this->shrunk_at > sample.took)
+    const auto served = static_cast<double>(sample.took.count()) - waited;
+    this->smoothed_wait += smoothing * (waited - this->smoothed_wait);
+    this->smoothed_service += smoothing * (served - this->smoothed_service);
+    if (this->smoothed_wait > static_cast<double>(this->target.count()))
     {
-        this->allowed = std::max(limit_least, this->allowed * shrink_factor);
-        this->shrunk_at = now;
+        this->fall(sample, now);
     }
-    else if (!long_wait && static_cast<double>(sample.in_progress) >=
-                               this->allowed * in_use_share)
+    else if (static_cast<double>(sample.in_progress) >=
+             static_cast<double>(this->limit()) * in_use_share)
     {
         this->allowed =
             std::min(limit_most, this->allowed + 1.0 / this->allowed);
     }
 }
 
+// Lowers the limit to what would wait as long as the target.
+void wait_limit::fall(const admission_sample& sample, microseconds now)
+{
+    const auto wanted = static_cast<double>(this->target.count());
+    const double factor =
+        (this->smoothed_service + wanted) /
+        std::max(1.0, this->smoothed_service + this->smoothed_wait);
+    const double in_use =
+        std::min(this->allowed, static_cast<double>(sample.in_progress));
+    this->allowed =
+        std::max(limit_least, in_use * std::max(least_fall, factor));
+    this->smoothed_wait = wanted / 2.0;
+    this->fallen_at = now;
+}
+
+// Keeps the limit near what was in use in the last two windows.
+void wait_limit::note_use(std::size_t in_progress, microseconds now)
+{
+    if (now >= this->window_end)
+    {
+        this->most_before = this->most_of_window;
+        this->most_of_window = 0;
+        this->window_end = now + use_window;
+    }
+    this->most_of_window = std::max(this->most_of_window, in_progress);
+    const auto most =
+        static_cast<double>(std::max(this->most_of_window, this->most_before));
+    const double room = std::max(room_least, most * room_above_use);
+    this->allowed = std::min(this->allowed, room);
+}
+
 } // namespace basilpath
--- a/src/process/admission_limit.hpp
+++ b/src/process/admission_limit.hpp
@@ -37,8 +37,10 @@
     };
 
 /// The limit grows by one per round of requests while waits are short and the
-/// limit is in use, and shrinks by a factor, once per round, while they are
-/// long.
+/// limit is in use. When waits are long it falls at once to what, by Little's
+/// law, would wait no longer than the target; requests admitted before the fall
+/// teach it nothing more. It never stands far above what was in use lately, so
+/// that a sudden crest does not find it wide open.
 class wait_limit
 {
 public:
@@ -50,10 +52,17 @@
     void learn(const admission_sample& sample, microseconds now);
 
 private:
+    void fall(const admission_sample& sample, microseconds now);
+    void note_use(std::size_t in_progress, microseconds now);
+
     microseconds target;
     double allowed;
     double smoothed_wait = 0.0;
-    microseconds shrunk_at{0};
+    double smoothed_service = 0.0;
+    microseconds fallen_at{0};
+    microseconds window_end{0};
+    std::size_t most_of_window = 0;
+    std::size_t most_before = 0;
 };
 
 } // namespace basilpath
--- a/src/process/home.hpp
+++ b/src/process/home.hpp
@@ -82,6 +82,7 @@
                            const wire::LeafExecuteResult& result) const;
     query_answer plain(const request_id& id, const caller_request& request,
                        result_code code) const;
+    [[nodiscard]] worth worth_of(const caller_request& request) const;
     [[nodiscard]] microseconds now() const;
 
     std::shared_ptr<context> shared;
--- a/src/process/home.ipp
+++ b/src/process/home.ipp
@@ -155,17 +155,24 @@
 home<Runtime, Transport>::admit(const caller_request& request,
                                 time_point deadline)
 {
-    const auto state = this->shared->state();
-    const request_class* const owner =
-        state->configuration
-            ? state->configuration->find_class(request.request_class)
-            : nullptr;
     const auto patience = std::chrono::duration_cast<microseconds>(
         request.budget * admission_share);
     const time_point until =
         std::min(deadline, Runtime::clock::now() + patience);
     co_return co_await this->shared->gate(request.service)
-        ->enter(owner == nullptr ? worth(0.0) : owner->value, until);
+        ->enter(this->worth_of(request), until);
+}
+
+// Returns what a request counts, by its class.
+template <runtime Runtime, peer_transport Transport>
+worth home<Runtime, Transport>::worth_of(const caller_request& request) const
+{
+    const auto state = this->shared->state();
+    const request_class* const owner =
+        state->configuration
+            ? state->configuration->find_class(request.request_class)
+            : nullptr;
+    return owner == nullptr ? worth(0.0) : owner->value;
 }
 
 // Waits until another request with the same key has finished.
@@ -239,6 +246,7 @@
     execute.set_shard(static_cast<std::uint32_t>(place));
     execute.set_query(request.query);
     execute.set_fingerprint(request.print.value);
+    execute.set_worth(this->worth_of(request).value);
     const auto routes = this->shared->routing.routes(state, *wanted, *pinned);
     const auto& owners = routes->shards[place].hosts;
     const auto sent = std::ranges::find_if(
--- a/src/process/slot_queue.hpp
+++ b/src/process/slot_queue.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -80,6 +81,9 @@
 
     instant deadline;
 
+    /// Requests of more worth are served first.
+    worth value;
+
     /// Leaves any of which will do.
     std::vector<std::shared_ptr<leaf_state>> candidates;
 
@@ -90,9 +94,9 @@
     typename Runtime::timer timer;
 };
 
-/// Grants slots. A slot that becomes free goes to the waiter with the earliest
-/// deadline among those whom the leaf can serve, so that no slot idles while
-/// work for it waits. Used on one thread.
+/// Grants slots. A slot that becomes free goes to the waiter of the most worth,
+/// among equals to the one with the earliest deadline, whom the leaf can serve,
+/// so that no slot idles while work for it waits. Used on one thread.
 template <runtime Runtime>
 class slot_queue : public std::enable_shared_from_this<slot_queue<Runtime>>
 {
@@ -131,8 +135,21 @@
     [[nodiscard]] std::size_t waiting() const;
 
 private:
-    /// Order of service at one leaf: by deadline, then by arrival.
-    using key = std::pair<instant, std::uint64_t>;
+    /// Order of service at one leaf: by falling worth, then by deadline, then
+    /// by arrival.
+    struct key
+    {
+        worth value;
+        instant deadline;
+        std::uint64_t arrival = 0;
+
+        bool operator<(const key& other) const
+        {
+            return std::tie(other.value, this->deadline, this->arrival) <
+                   std::tie(this->value, other.deadline, other.arrival);
+        }
+    };
+
     using line = std::map<key, std::shared_ptr<waiter>>;
 
     [[nodiscard]] instant now() const;
--- a/src/process/slot_queue.ipp
+++ b/src/process/slot_queue.ipp
@@ -35,7 +35,7 @@
     {
         co_return std::move(free);
     }
-    const key place{one->deadline, ++this->arrivals};
+    const key place{one->value, one->deadline, ++this->arrivals};
     for (const auto& leaf : one->candidates)
     {
         this->lines[leaf->id].emplace(place, one);
--- a/src/request/leaf_execute_session.ipp
+++ b/src/request/leaf_execute_session.ipp
@@ -80,6 +80,7 @@
     {
         const auto waiter = std::make_shared<slot_waiter<Runtime>>(
             this->context.owner, this->deadline, open);
+        waiter->value = worth(this->request.worth());
         const standing known = this->context.quarantines.look_up(
             fingerprint(this->request.fingerprint()), this->context.now());
         if (known == standing::quarantined)
--- a/src/request/query_session.hpp
+++ b/src/request/query_session.hpp
@@ -41,6 +41,7 @@
 
 private:
     boost::asio::awaitable<query_answer> run_admitted();
+    [[nodiscard]] microseconds typical_wait() const;
     query_answer refuse_overload();
     std::optional<query_answer> refuse_early();
     bool pin(std::optional<version_number> except);
@@ -81,7 +82,7 @@
     std::unique_ptr<answer_merger> merger;
     std::vector<shard_progress> shards;
     std::uint32_t next_attempt = 0;
-    microseconds longest_wait{0};
+    worth value;
     bool canary_running = false;
     bool cancelled = false;
 };
--- a/src/request/query_session.ipp
+++ b/src/request/query_session.ipp
@@ -33,6 +33,9 @@
 /// left.
 inline constexpr double restart_budget_share = 0.4;
 
+/// The wait of a query is that of this quantile of its shards.
+inline constexpr double wait_quantile = 0.8;
+
 /// Shards on which a query that is not proven may be tried.
 inline constexpr std::size_t canary_shards = 3;
 
@@ -68,11 +71,11 @@
     // Step 3. Wait for a place among the requests in progress.
     const request_class* const owner =
         this->state->configuration->find_class(this->request.request_class);
+    this->value = owner == nullptr ? worth(0.0) : owner->value;
     const auto patience = std::chrono::duration_cast<microseconds>(
         this->request.budget * admission_share);
     auto place = co_await this->shared->gate(this->request.service)
-                     ->enter(owner == nullptr ? worth(0.0) : owner->value,
-                             this->arrived + patience);
+                     ->enter(this->value, this->arrived + patience);
     if (!place)
     {
         co_return this->refuse_overload();
@@ -82,7 +85,7 @@
         co_return this->refusal(result_code::cancelled, "the caller went away");
     }
     query_answer answer = co_await this->run_admitted();
-    place->report(this->longest_wait, answer.code == result_code::complete);
+    place->report(this->typical_wait(), answer.code == result_code::complete);
     co_return answer;
 }
 
@@ -145,6 +148,31 @@
     return this->own_id;
 }
 
+// Returns the wait that most shards stayed under, so that neither one slow
+// leaf nor one idle one stands for all. A shard that has not answered has
+// waited since it was asked.
+template <runtime Runtime, peer_transport Transport>
+microseconds query_session<Runtime, Transport>::typical_wait() const
+{
+    std::vector<microseconds> waits;
+    for (const shard_progress& progress : this->shards)
+    {
+        if (progress.attempt > 0)
+        {
+            waits.push_back(progress.merged ? progress.waited
+                                            : this->age() - progress.asked_at);
+        }
+    }
+    if (waits.empty())
+    {
+        return microseconds::zero();
+    }
+    const auto place = static_cast<std::ptrdiff_t>(
+        static_cast<double>(waits.size() - 1) * query_limits::wait_quantile);
+    std::ranges::nth_element(waits, waits.begin() + place);
+    return waits[static_cast<std::size_t>(place)];
+}
+
 // Refuses a query that found no place in time, with a time to come back that
 // differs from caller to caller.
 template <runtime Runtime, peer_transport Transport>
@@ -372,6 +400,7 @@
         static_cast<std::uint64_t>(std::max(budget, microseconds(1)).count()));
     query.set_query(this->request.query);
     query.set_fingerprint(this->request.print.value);
+    query.set_worth(this->value.value);
     query.set_canary(this->canary_running);
     for (const std::size_t place : which)
     {
@@ -476,10 +505,9 @@
     {
     case merge_outcome::merged:
         progress.merged = true;
-        this->longest_wait =
-            std::max(this->longest_wait, this->age() - progress.asked_at -
-                                             microseconds(result.elapsed_us()) +
-                                             microseconds(result.queued_us()));
+        progress.waited = this->age() - progress.asked_at -
+                          microseconds(result.elapsed_us()) +
+                          microseconds(result.queued_us());
         progress.failure.reset();
         ++counters.shards_merged;
         this->note(fmt::format(
--- a/src/request/shard_call.hpp
+++ b/src/request/shard_call.hpp
@@ -22,6 +22,7 @@
     service_name service;
     version_number version;
     instant deadline;
+    worth value;
     fingerprint print;
     std::string query;
 
--- a/src/request/shard_call.ipp
+++ b/src/request/shard_call.ipp
@@ -172,6 +172,7 @@
     const instant asked = this->context.now();
     this->waiter = std::make_shared<slot_waiter<Runtime>>(
         this->context.owner, this->work->deadline, this->untried());
+    this->waiter->value = this->work->value;
     const slot_use use =
         this->known() == standing::suspect ? slot_use::alone : slot_use::shared;
     auto slot = co_await this->context.slots->acquire(this->waiter, use);
--- a/src/request/shard_progress.hpp
+++ b/src/request/shard_progress.hpp
@@ -25,6 +25,9 @@
     /// When it was asked, after the arrival of the request.
     microseconds asked_at{0};
 
+    /// Time that the result spent waiting rather than being made.
+    microseconds waited{0};
+
     /// Number of the message that asked it.
     std::uint32_t attempt = 0;
 
--- a/src/request/shard_query_session.ipp
+++ b/src/request/shard_query_session.ipp
@@ -30,6 +30,7 @@
     this->work->version = version_number(this->query.version());
     this->work->deadline =
         this->context.now() + microseconds(this->query.budget_us());
+    this->work->value = worth(this->query.worth());
     this->work->print = fingerprint(this->query.fingerprint());
     this->work->query = this->query.query();
     this->work->last_attempt =
--- a/test/admission_test.cpp
+++ b/test/admission_test.cpp
@@ -1,6 +1,7 @@
 #include "entry_fixture.hpp"
 #include "process/admission_gate.hpp"
 
+#include <algorithm>
 #include <vector>
 
 namespace
@@ -46,9 +47,14 @@
                 auto place = co_await self->gate->enter(value, until);
                 self->events.push_back(name + (place ? " in" : " refused"));
                 virtual_runtime::timer timer(self->run.executor());
+                if (!place)
+                {
+                    co_return;
+                }
                 timer.expires_after(service);
                 co_await timer.async_wait(
                     boost::asio::as_tuple(boost::asio::use_awaitable));
+                place->report(microseconds::zero(), true);
             }(this, std::move(name), worth(value), patience, service),
             boost::asio::detached);
     }
@@ -86,6 +92,26 @@
           std::vector<std::string>{"first in", "newer in", "older in"});
 }
 
+TEST_CASE("places that requests of more worth will need are kept for them")
+{
+    gate_record record;
+    record.gate = std::make_shared<fixed_gate>(record.run, fixed_limit{4});
+    // Requests of much worth come every 5 ms and take 20 ms: four places.
+    for (int i = 0; i < 100; ++i)
+    {
+        record.run.run_until(i * 5ms);
+        record.request("high", 10, 30ms, 20ms);
+        if (i >= 50)
+        {
+            record.request("low", 1, 30ms, 20ms);
+        }
+    }
+    record.run.run_until(2s);
+    const auto high_refused = std::ranges::count(record.events, "high refused");
+    CHECK(high_refused == 0);
+    CHECK(std::ranges::count(record.events, "low refused") > 0);
+}
+
 TEST_CASE("the limit shrinks while requests wait and grows while they do not")
 {
     wait_limit limit(10ms);
