A canary answered with nonsense costs its shard, not the query

Change: such a query goes on to the other shards and is not held for proven. Figures: the new test was bad_reply before and is partial after.

--- a/src/request/query_session.ipp
+++ b/src/request/query_session.ipp
@@ -298,6 +298,12 @@
             co_return;
         }
         code = canary.failure.value_or(result_code::deadline_exceeded);
+        if (code == result_code::bad_reply)
+        {
+            // The target has survived the query; what it said is of no use.
+            this->canary_running = false;
+            co_return;
+        }
         if (canary.may_have_run)
         {
             break;
--- a/test/query_session_test.cpp
+++ b/test/query_session_test.cpp
@@ -56,6 +56,35 @@
     check_golden("query-crashes-targets.txt", entry.peers.record);
 }
 
+TEST_CASE(
+    "a canary that is answered with nonsense costs its shard, not the query")
+{
+    entry_fixture entry;
+    entry.answer_all(3ms);
+    const auto answer = entry.peers.script;
+    entry.peers.script =
+        [&](const peer_address& to, const wire::Envelope& message)
+    {
+        if (!message.has_shard_query() || !message.shard_query().canary())
+        {
+            answer(to, message);
+            return;
+        }
+        wire::ShardResults results;
+        results.set_request(message.shard_query().request());
+        results.set_attempt(message.shard_query().attempt());
+        wire::ShardResult& one = *results.add_results();
+        one.set_shard(message.shard_query().shards(0));
+        one.set_code(static_cast<unsigned>(result_code::bad_reply));
+        one.set_attempts(2);
+        entry.peers.after(2ms, [&entry, to, results]
+                          { entry.deliver(to.value, results); });
+    };
+    entry.start_query(browse, false);
+    entry.run.run_until(1s);
+    CHECK(entry.peers.record.find(R"("name":"partial")") != std::string::npos);
+}
+
 TEST_CASE("golden: a straggler past the deadline leaves a partial answer")
 {
     entry_fixture entry;
