--- a/test/document_diff_test.cpp
+++ b/test/document_diff_test.cpp
@@ -80,9 +80,7 @@
             {
                 text += fmt::format("[class k{}]\nservice = s\nworth = {}\n"
                                     "deadline_ms = 10\nobjective_ms = 10\n",
-                                    random() % 100 +
-                                        100U * static_cast<unsigned>(i),
-                                    random() % 3 + 1);
+                                    random() % 100 + 100 * i, random() % 3 + 1);
             }
             return parse(text);
         };
