--- a/src/process/entry_context.hpp
+++ b/src/process/entry_context.hpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace basilpath
 {
@@ -41,13 +42,24 @@
 template <runtime Runtime, peer_transport Transport>
 struct entry_context
 {
+    using state_source = std::function<std::shared_ptr<const system_state>()>;
+
+    /// `state` returns the state in force, never null.
+    entry_context(Runtime& clockwork, Transport& transport, host_id own_host,
+                  incarnation own_incarnation, state_source state)
+        : clockwork(clockwork), transport(transport),
+          own_host(std::move(own_host)), own_incarnation(own_incarnation),
+          state(std::move(state))
+    {
+    }
+
     Runtime& clockwork;
     Transport& transport;
     host_id own_host;
     incarnation own_incarnation;
 
     /// Returns the state in force, never null.
-    std::function<std::shared_ptr<const system_state>()> state;
+    state_source state;
 
     reply_router<Runtime> router;
     routing_table routing;
--- a/test/entry_fixture.hpp
+++ b/test/entry_fixture.hpp
@@ -254,7 +254,7 @@
         {
             if (message.has_shard_query())
             {
-                const wire::ShardQuery asked = message.shard_query();
+                const wire::ShardQuery& asked = message.shard_query();
                 this->peers.after(
                     delay,
                     [this, to, asked]
--- a/test/interface_doc_test.cpp
+++ b/test/interface_doc_test.cpp
@@ -85,7 +85,7 @@
                 { entry.deliver(to.value, id, result_code::complete); });
             return;
         }
-        const wire::ShardQuery asked = message.shard_query();
+        const wire::ShardQuery& asked = message.shard_query();
         wire::ShardResults results;
         results.set_request(asked.request());
         results.set_attempt(asked.attempt());
--- a/test/peer_hub_test.cpp
+++ b/test/peer_hub_test.cpp
@@ -29,7 +29,8 @@
 TEST_CASE("a link finds its peer again after it was away for long")
 {
     boost::asio::io_context context(1);
-    const auto ignore = [](const peer_address&, incarnation, wire::Envelope) {
+    const auto ignore = [](const peer_address&, incarnation,
+                           const wire::Envelope&) {
     };
     peer_hub sender(context, peer_address("127.0.0.1:0"), incarnation(1),
                     ignore, quick);
--- a/test/query_session_test.cpp
+++ b/test/query_session_test.cpp
@@ -95,7 +95,7 @@
         {
             return;
         }
-        const wire::ShardQuery asked = message.shard_query();
+        const wire::ShardQuery& asked = message.shard_query();
         for (const std::uint32_t shard : asked.shards())
         {
             entry.peers.after(shard == 1 ? 300ms : 4ms,
@@ -161,7 +161,7 @@
             answer(to, message);
             return;
         }
-        const wire::ShardQuery asked = message.shard_query();
+        const wire::ShardQuery& asked = message.shard_query();
         entry.peers.after(5ms,
                           [&entry, to, asked]
                           {
@@ -195,7 +195,7 @@
         {
             return;
         }
-        const wire::ShardQuery asked = message.shard_query();
+        const wire::ShardQuery& asked = message.shard_query();
         entry.peers.after(
             4ms,
             [&entry, to, asked]
--- a/test/scripted_peers.hpp
+++ b/test/scripted_peers.hpp
@@ -28,7 +28,7 @@
 
     explicit scripted_peers(virtual_runtime& run) : run(run) {}
 
-    bool send(const peer_address& to, wire::Envelope message)
+    bool send(const peer_address& to, const wire::Envelope& message)
     {
         const bool taken = !this->silent.contains(to);
         this->write("{} {}{}", to.value, describe(message),
