Do not copy from a null pointer in the INI reader

Cause: the first whole run of the tests under the address and undefined- behaviour sanitizers stopped at memcpy of an empty line (null, length 0). Change: a range copy.

--- a/src/version/ini_reader.cpp
+++ b/src/version/ini_reader.cpp
@@ -4,7 +4,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace basilpath
 {
@@ -107,7 +106,7 @@
         line = {};
     }
     note_header(feed, line);
-    std::memcpy(buffer, line.data(), line.size());
+    std::ranges::copy(line, buffer);
     buffer[line.size()] = '\n';
     buffer[line.size() + 1] = '\0';
     return buffer;
