--- /dev/null
+++ b/src/node/connection/http_session.cpp
@@ -0,0 +1,253 @@
+#include "node/connection/http_session.hpp"
+
+#include "process/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+// One read; a request of the usual size comes in one.
+constexpr std::size_t read_bytes = 4096;
+
+// Bytes of further requests that are read while one is answered. A caller that
+// sends more than this at once waits for the answer first.
+constexpr std::size_t read_ahead_bytes = 65'536;
+
+instant now()
+{
+    return to_instant(std::chrono::steady_clock::now());
+}
+
+// The status that tells a caller what is wrong with its request.
+http::status status_of(const boost::system::error_code& why)
+{
+    if (why == http::error::header_limit)
+    {
+        return http::status::request_header_fields_too_large;
+    }
+    if (why == http::error::body_limit)
+    {
+        return http::status::payload_too_large;
+    }
+    return http::status::bad_request;
+}
+
+} // namespace
+
+http_session::http_session(asio::ip::tcp::socket socket,
+                           std::shared_ptr<http_server_state> server)
+    : socket(std::move(socket)), server(std::move(server)), waiting_since(now())
+{
+    boost::system::error_code ignored;
+    // Without this a small answer waits for the acknowledgement of the last.
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<void> http_session::run()
+{
+    const auto self = this->shared_from_this();
+    while (this->socket.is_open())
+    {
+        // Step 1. Read a whole request.
+        parser request;
+        request.header_limit(this->server->limits.header_bytes);
+        request.body_limit(this->server->limits.body_bytes);
+        request.eager(true);
+        const bool complete = co_await this->read_request(request);
+        if (!complete)
+        {
+            break;
+        }
+
+        // Step 2. Have it answered, and notice when the caller leaves.
+        const bool keep = request.get().keep_alive();
+        const unsigned version = request.get().version();
+        this->start_handler(std::make_shared<http_request>(request.release()));
+        co_await this->await_answer();
+        if (!this->answer)
+        {
+            break;
+        }
+
+        // Step 3. Send the answer.
+        http_response response = std::move(*this->answer);
+        this->answer.reset();
+        response.version(version);
+        response.keep_alive(keep && response.keep_alive() &&
+                            !this->server->draining);
+        const bool stays = co_await this->write(std::move(response));
+        this->answering = false;
+        this->waiting_since = now();
+        if (!stays)
+        {
+            break;
+        }
+    }
+    this->answering = false;
+    this->close();
+}
+
+void http_session::close_if_expired(instant time)
+{
+    if (this->answering)
+    {
+        return;
+    }
+    const auto limit = this->reading ? this->server->limits.header_timeout
+                                     : this->server->limits.idle_timeout;
+    if (time - this->waiting_since > limit)
+    {
+        this->close();
+    }
+}
+
+void http_session::close_if_idle()
+{
+    if (!this->answering && !this->reading)
+    {
+        this->close();
+    }
+}
+
+asio::awaitable<bool> http_session::read_request(parser& request)
+{
+    this->reading = this->buffer.size() > 0;
+    this->waiting_since = now();
+    boost::system::error_code failed;
+    while (!request.is_done())
+    {
+        if (this->buffer.size() > 0)
+        {
+            const auto used = request.put(this->buffer.data(), failed);
+            this->buffer.consume(used);
+            if (request.is_done())
+            {
+                break;
+            }
+            if (failed && failed != http::error::need_more)
+            {
+                co_await this->reject(failed);
+                co_return false;
+            }
+        }
+        const auto space = this->buffer.prepare(read_bytes);
+        const auto [error, count] = co_await this->socket.async_read_some(
+            space, asio::as_tuple(asio::use_awaitable));
+        if (error)
+        {
+            co_return false;
+        }
+        this->buffer.commit(count);
+        if (!this->reading)
+        {
+            this->reading = true;
+            this->waiting_since = now();
+        }
+    }
+    this->reading = false;
+    this->answering = true;
+    co_return true;
+}
+
+// Reads on while the request is answered: an end of the connection means that
+// the caller has gone, further bytes are the next request.
+asio::awaitable<void> http_session::await_answer()
+{
+    while (!this->answer)
+    {
+        if (this->buffer.size() >= read_ahead_bytes)
+        {
+            // The caller is not read further; only a reset shows that it left.
+            const auto [error] = co_await this->socket.async_wait(
+                asio::ip::tcp::socket::wait_error,
+                asio::bind_cancellation_slot(
+                    this->answered.slot(),
+                    asio::as_tuple(asio::use_awaitable)));
+            if (!this->answer)
+            {
+                this->presence->leave();
+                co_return;
+            }
+            continue;
+        }
+        const auto space = this->buffer.prepare(read_bytes);
+        const auto [error, count] = co_await this->socket.async_read_some(
+            space, asio::bind_cancellation_slot(
+                       this->answered.slot(),
+                       asio::as_tuple(asio::use_awaitable)));
+        this->buffer.commit(count);
+        if (error && !this->answer)
+        {
+            this->presence->leave();
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> http_session::write(http_response response)
+{
+    response.prepare_payload();
+    const bool keep = response.keep_alive();
+    const auto [error, count] = co_await http::async_write(
+        this->socket, response, asio::as_tuple(asio::use_awaitable));
+    co_return !error && keep;
+}
+
+asio::awaitable<void>
+http_session::reject(const boost::system::error_code& why)
+{
+    http_response response(status_of(why), 11);
+    response.keep_alive(false);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = "malformed request: " + why.message() + "\n";
+    log_event(log_level::warning, "request_malformed",
+              {{"reason", why.message()}, {"status", response.result_int()}});
+    co_await this->write(std::move(response));
+}
+
+void http_session::start_handler(std::shared_ptr<http_request> request)
+{
+    this->presence = std::make_shared<caller_presence>();
+    const auto self = this->shared_from_this();
+    asio::co_spawn(
+        this->socket.get_executor(),
+        this->server->handler(std::move(request), this->presence),
+        [self](const std::exception_ptr& failed, http_response response)
+        {
+            if (failed)
+            {
+                log_event(log_level::error, "handler_failed", {});
+                response = http_response(http::status::bad_gateway, 11);
+            }
+            self->answer = std::move(response);
+            self->answered.emit(asio::cancellation_type::all);
+        });
+}
+
+void http_session::close()
+{
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/connection/target_codec.hpp
@@ -0,0 +1,30 @@
+/// What the transport needs of the adapter that knows the targets' protocol.
+#pragma once
+
+#include "node/connection/http_types.hpp"
+#include "node/request/target_call.hpp"
+
+#include <concepts>
+#include <string>
+
+namespace basilpath
+{
+
+/// Encodes calls to replicas and decodes their answers, and reads the id of
+/// the replica that answered a health check.
+template <class Codec>
+concept target_codec =
+    requires(const target_call& call, milliseconds patience,
+             http_response response) {
+        {
+            Codec::encode_call(call, patience)
+        } -> std::same_as<std::string>;
+        {
+            Codec::decode_reply(std::move(response))
+        } -> std::same_as<target_reply>;
+        {
+            Codec::replica_named(response)
+        } -> std::same_as<std::optional<leaf_id>>;
+    };
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/directory_question.hpp
@@ -0,0 +1,15 @@
+/// What a caller says when it asks which host to use.
+#pragma once
+
+#include "version/ids.hpp"
+
+namespace basilpath
+{
+
+struct directory_question
+{
+    region_name region;
+    failure_domain domain;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/gather_policy.hpp
@@ -0,0 +1,50 @@
+/// When a query over shards asks a second replica, and when it answers.
+#pragma once
+
+#include "node/version/route.hpp"
+#include "process/instant.hpp"
+
+#include <cstddef>
+
+namespace basilpath
+{
+
+/// The points in time of one query, from what its caller expects.
+struct gather_plan
+{
+    /// A shard that has not answered this long after its call is asked a
+    /// second time.
+    microseconds hedge_after{0};
+
+    /// From now on the answer is given as soon as it covers enough.
+    instant cutoff{};
+
+    /// The last moment for an answer.
+    instant deadline{};
+};
+
+/// What a plan is made from.
+struct gather_times
+{
+    instant arrived{};
+
+    /// How long the caller has already waited in earlier attempts.
+    milliseconds spent{0};
+
+    /// How much longer it waits.
+    milliseconds patience{0};
+
+    /// What slow calls of the route take.
+    microseconds slow{0};
+};
+
+/// Answers the load in which a few replicas pause: the second replica is asked
+/// when most calls would have been answered, early enough to meet the
+/// objective, and what is in is answered just before it.
+[[nodiscard]] gather_plan plan_gather(const route& rule,
+                                      const gather_times& times);
+
+/// The least number of parts that makes an answer.
+[[nodiscard]] std::size_t parts_needed(const gather_rule& rule);
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/item_source.hpp
@@ -0,0 +1,46 @@
+/// What the node needs of the adapter that reads the platform's store.
+#pragma once
+
+#include "node/version/item_view.hpp"
+#include "version/ids.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace basilpath
+{
+
+/// How a read of the store ended.
+enum class read_end : std::uint8_t
+{
+    done,
+    compacted,  ///< the history asked for is gone; read everything anew
+    unavailable ///< no answer, or a refusal
+};
+
+struct read_result
+{
+    read_end end = read_end::unavailable;
+    view_update update;
+
+    /// Why there is no update.
+    std::string reason;
+};
+
+/// Reads the items that concern this system. Counts its calls.
+template <class Source>
+concept item_source = requires(Source& source, store_revision after,
+                               milliseconds wait) {
+    {
+        source.read_all()
+    } -> std::same_as<boost::asio::awaitable<read_result>>;
+    {
+        source.watch(after, wait)
+    } -> std::same_as<boost::asio::awaitable<read_result>>;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/node.hpp
@@ -0,0 +1,70 @@
+/// One process of the system: callers, targets, store and peers of one host.
+#pragma once
+
+#include "node/connection/http_server.hpp"
+#include "node/process/directory_question.hpp"
+#include "node/process/node_settings.hpp"
+#include "node/process/query_service.hpp"
+#include "node/process/repeat_budget.hpp"
+#include "node/process/target_pool.hpp"
+#include "node/process/view_reader.hpp"
+#include "node/version/decoded_item.hpp"
+#include "node/version/item_view.hpp"
+#include "process/runtime.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace basilpath
+{
+
+/// Joins the parts of a node. The adapter translates between the node and its
+/// surroundings: items of the store, requests and answers of callers, calls to
+/// targets, the directory and readiness.
+template <class Adapter>
+class node
+{
+public:
+    /// Listens on the addresses of the settings; throws when that fails.
+    node(boost::asio::io_context& context, node_settings settings);
+
+    /// Starts all tasks. SIGTERM ends them and stops the context.
+    void start();
+
+private:
+    using pool = target_pool<typename Adapter::codec>;
+    using shared_services = request_services<real_runtime, pool>;
+
+    boost::asio::awaitable<http_response>
+    answer_caller(std::shared_ptr<http_request> request,
+                  std::shared_ptr<caller_presence> presence);
+    boost::asio::awaitable<http_response>
+    answer_directory(std::shared_ptr<http_request> request);
+    boost::asio::awaitable<http_response> answer_readiness();
+    boost::asio::awaitable<void> await_end();
+    boost::asio::awaitable<void> drain();
+    void take_item(const item_change& change);
+    void take_routes(const std::shared_ptr<const route_table>& table);
+    void take_host_count(std::size_t hosts);
+    [[nodiscard]] bool ready() const;
+
+    boost::asio::io_context& context;
+    node_settings settings;
+    real_runtime run;
+    pool targets;
+    repeat_budget repeats;
+    shared_services shared;
+    query_service<real_runtime, pool> queries;
+    item_view view;
+    typename Adapter::source store;
+    view_reader<real_runtime, typename Adapter::source> reader;
+    node_http_server callers;
+    node_http_server readiness;
+    node_http_server directory;
+    std::shared_ptr<const route_table> routes;
+    bool leaving = false;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/node.ipp
@@ -0,0 +1,242 @@
+#include "node/process/node.hpp"
+
+#include "node/process/query_service.ipp"
+#include "node/process/target_pool.ipp"
+#include "node/process/view_reader.ipp"
+#include "process/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <type_traits>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace node_bounds
+{
+
+/// A replica whose entry is gone may be back this soon, when the entry only
+/// lapsed while the store was away.
+inline constexpr milliseconds lapse_patience{2'100};
+
+/// Least time that a leaving host goes on, so that callers have learned that
+/// it leaves: the time that they keep an answer of the directory, and some.
+inline constexpr milliseconds leaving_time{2'500};
+
+/// Time kept before the forced end, for closing what is left.
+inline constexpr milliseconds end_margin{700};
+
+/// How often a leaving host looks whether it may end.
+inline constexpr milliseconds drain_interval{50};
+
+/// How long callers keep an answer of the directory, so that a host that is
+/// lost is left alone soon.
+inline constexpr milliseconds directory_keep{2'000};
+
+} // namespace node_bounds
+
+template <class Adapter>
+node<Adapter>::node(boost::asio::io_context& context, node_settings initial)
+    : context(context), settings(std::move(initial)),
+      run(context, std::random_device{}()),
+      targets(context, this->settings.domain),
+      repeats({this->settings.repeat_ratio, this->settings.repeat_slack,
+               this->settings.repeat_window}),
+      shared{this->run, this->targets, this->repeats}, queries(this->shared),
+      view([this](const item_change& change) { this->take_item(change); }),
+      store(context.get_executor(), this->settings.store),
+      reader(this->run, this->store, this->view),
+      callers(context, this->settings.callers.value,
+              [this](std::shared_ptr<http_request> request,
+                     std::shared_ptr<caller_presence> presence)
+              {
+                  return this->answer_caller(std::move(request),
+                                             std::move(presence));
+              }),
+      readiness(context, this->settings.readiness.value,
+                [this](const std::shared_ptr<http_request>&,
+                       const std::shared_ptr<caller_presence>&)
+                { return this->answer_readiness(); }),
+      directory(context, this->settings.directory.value,
+                [this](std::shared_ptr<http_request> request,
+                       const std::shared_ptr<caller_presence>&)
+                { return this->answer_directory(std::move(request)); })
+{
+    this->take_host_count(1);
+}
+
+template <class Adapter>
+void node<Adapter>::start()
+{
+    log_event(log_level::info, "started",
+              {{"host", this->settings.name.value},
+               {"domain", this->settings.domain.value},
+               {"callers", this->settings.callers.value}});
+    this->callers.start();
+    this->readiness.start();
+    this->directory.start();
+    this->targets.start();
+    boost::asio::co_spawn(this->context, this->reader.run(),
+                          boost::asio::detached);
+    boost::asio::co_spawn(this->context, this->await_end(),
+                          boost::asio::detached);
+}
+
+template <class Adapter>
+boost::asio::awaitable<http_response>
+node<Adapter>::answer_caller(std::shared_ptr<http_request> request,
+                             std::shared_ptr<caller_presence> presence)
+{
+    const auto query = std::make_shared<const caller_query>(Adapter::query(
+        std::move(*request), to_instant(std::chrono::steady_clock::now())));
+    const caller_reply reply =
+        co_await this->queries.answer(query, std::move(presence));
+    co_return Adapter::reply(reply);
+}
+
+template <class Adapter>
+boost::asio::awaitable<http_response>
+node<Adapter>::answer_directory(std::shared_ptr<http_request> request)
+{
+    const auto question = Adapter::directory_question_of(*request);
+    if (!question)
+    {
+        co_return http_response(boost::beast::http::status::not_found, 11);
+    }
+    std::vector<http_address> hosts;
+    if (this->ready())
+    {
+        hosts.push_back(this->settings.callers);
+    }
+    co_return Adapter::directory(
+        hosts, std::min(node_bounds::directory_keep,
+                        this->settings.directory_keep));
+}
+
+template <class Adapter>
+boost::asio::awaitable<http_response> node<Adapter>::answer_readiness()
+{
+    co_return Adapter::readiness(this->ready());
+}
+
+template <class Adapter>
+boost::asio::awaitable<void> node<Adapter>::await_end()
+{
+    boost::asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_await this->drain();
+    this->context.stop();
+}
+
+// Serves on until callers have learned that this host leaves, then ends idle
+// connections, then waits for what is still being answered.
+template <class Adapter>
+boost::asio::awaitable<void> node<Adapter>::drain()
+{
+    log_event(log_level::info, "leaving",
+              {{"host", this->settings.name.value}});
+    this->leaving = true;
+    this->callers.start_draining();
+    const auto started = std::chrono::steady_clock::now();
+    const auto end =
+        started + this->settings.stop_within - node_bounds::end_margin;
+    boost::asio::steady_timer timer(this->context);
+    while (std::chrono::steady_clock::now() < end)
+    {
+        timer.expires_after(node_bounds::drain_interval);
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        const bool known = std::chrono::steady_clock::now() - started >
+                           node_bounds::leaving_time;
+        if (known)
+        {
+            this->callers.stop_accepting();
+            this->callers.close_idle();
+        }
+        if (known && this->callers.busy_count() == 0)
+        {
+            break;
+        }
+    }
+    log_event(log_level::info, "stopped",
+              {{"host", this->settings.name.value},
+               {"unanswered", this->callers.busy_count()}});
+}
+
+// Takes one change of the store.
+template <class Adapter>
+void node<Adapter>::take_item(const item_change& change)
+{
+    const decoded_item item = Adapter::decode(change);
+    std::visit(
+        [this, &change](const auto& one)
+        {
+            using type = std::decay_t<decltype(one)>;
+            if constexpr (std::is_same_v<type, unusable_item>)
+            {
+                log_event(log_level::warning, "item_unusable",
+                          {{"key", change.key}, {"reason", one.reason}});
+            }
+            else if constexpr (std::is_same_v<type, replica>)
+            {
+                this->targets.set_replica(one);
+            }
+            else if constexpr (std::is_same_v<type, replica_removed>)
+            {
+                this->targets.drop_replica(one.id,
+                                           node_bounds::lapse_patience);
+            }
+            else if constexpr (!std::is_same_v<type, foreign_item>)
+            {
+                this->take_routes(one);
+            }
+        },
+        item);
+}
+
+// Puts a version of the configuration in force, unless a later one is.
+template <class Adapter>
+void node<Adapter>::take_routes(const std::shared_ptr<const route_table>& table)
+{
+    if (this->routes && this->routes->version() >= table->version())
+    {
+        log_event(log_level::warning, "configuration_older",
+                  {{"version", table->version().value},
+                   {"in_force", this->routes->version().value}});
+        return;
+    }
+    this->routes = table;
+    this->targets.set_routes(table);
+    this->queries.set_routes(table);
+    this->callers.set_limits(table->limits());
+    log_event(log_level::info, "configuration",
+              {{"version", table->version().value},
+               {"routes", table->route_count()}});
+}
+
+template <class Adapter>
+void node<Adapter>::take_host_count(std::size_t hosts)
+{
+    this->targets.set_host_count(hosts);
+    this->repeats.set_host_count(hosts);
+}
+
+// A host without a configuration cannot serve; one that leaves should not.
+template <class Adapter>
+bool node<Adapter>::ready() const
+{
+    return this->routes != nullptr && !this->leaving;
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/node_settings.hpp
@@ -0,0 +1,66 @@
+/// Settings of one node.
+#pragma once
+
+#include "version/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace basilpath
+{
+
+/// What the platform tells a process when it starts.
+struct node_settings
+{
+    host_id name;
+    failure_domain domain;
+    region_name region;
+
+    /// The region of each failure domain.
+    std::map<failure_domain, region_name> domains;
+
+    /// Where callers connect.
+    http_address callers;
+
+    /// Where the platform asks for readiness.
+    http_address readiness;
+
+    /// Where callers ask which host to use.
+    http_address directory;
+
+    /// Where other nodes connect; the port is the same on all hosts.
+    peer_address peers;
+
+    /// Hosts to ask for others; may be old or down.
+    std::vector<peer_address> seeds;
+
+    /// The platform's store.
+    http_address store;
+
+    /// Share of a core that this host has.
+    double processor_share = 1.0;
+
+    /// Bandwidth of the host's link in Mbit/s.
+    double link_mbps = 1000.0;
+
+    /// Longest time between SIGTERM and the end.
+    milliseconds stop_within{6'000};
+
+    /// A replica that leaves gets its last new request within this time.
+    milliseconds leave_within{3'000};
+
+    /// Requests sent a second time: at most this share of the requests, plus
+    /// the slack, of all hosts together in each window.
+    double repeat_ratio = 0.2;
+    double repeat_slack = 10.0;
+    milliseconds repeat_window{10'000};
+
+    /// Longest time that callers keep an answer of the directory.
+    milliseconds directory_keep{5'000};
+
+    bool operator==(const node_settings&) const = default;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/placement.cpp
@@ -0,0 +1,67 @@
+#include "node/process/placement.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace basilpath
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// A replica in another failure domain must be faster by this much: a round
+// trip between domains takes 1 to 2 ms, the rest stands for the bytes.
+constexpr microseconds distance_cost = 8ms;
+
+// Replicas whose expected times differ by less are taken in turn, so that
+// hosts with the same view do not all choose the same one.
+constexpr microseconds random_spread = 2ms;
+
+// A replica that may be gone is taken only when nothing else is left.
+constexpr microseconds lapsed_cost = 10s;
+
+} // namespace
+
+std::optional<placement_choice>
+choose_replica(std::span<const candidate> candidates,
+               const placement_query& query)
+{
+    std::optional<placement_choice> best;
+    microseconds least = microseconds::max();
+    std::uint64_t random = query.random;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        const candidate& one = candidates[i];
+        const bool asked =
+            std::ranges::find(query.asked, one.target->id) !=
+            query.asked.end();
+        if (asked || one.health->down() || one.target->leaving)
+        {
+            continue;
+        }
+        const microseconds expected =
+            one.health->expected(query.now, query.usual);
+        microseconds cost = expected;
+        if (query.domain && one.target->domain != *query.domain)
+        {
+            cost += distance_cost;
+        }
+        if (one.lapsed)
+        {
+            cost += lapsed_cost;
+        }
+        cost += microseconds(random % static_cast<std::uint64_t>(
+                                          random_spread.count()));
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        if (cost < least)
+        {
+            least = cost;
+            best = placement_choice{i, expected};
+        }
+    }
+    return best;
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/placement.hpp
@@ -0,0 +1,60 @@
+/// The choice of the replica that gets a request.
+#pragma once
+
+#include "node/process/target_health.hpp"
+#include "node/version/replica.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace basilpath
+{
+
+/// A replica that may be chosen. Both are owned by the transport and live as
+/// long as the call that is being placed.
+struct candidate
+{
+    const replica* target = nullptr;
+    const target_health* health = nullptr;
+
+    /// It was taken off the list and may only be gone for a moment; used when
+    /// there is no other.
+    bool lapsed = false;
+};
+
+/// What a choice depends on.
+struct placement_query
+{
+    instant now{};
+
+    /// What a request of this kind usually takes.
+    microseconds usual{0};
+
+    /// Where this host stands.
+    const failure_domain* domain = nullptr;
+
+    /// Replicas that have been asked already.
+    std::span<const leaf_id> asked;
+
+    /// Spreads requests among equals.
+    std::uint64_t random = 0;
+};
+
+/// A choice and what it was based on.
+struct placement_choice
+{
+    std::size_t index = 0;
+    microseconds expected{0};
+};
+
+/// The replica that is expected to answer first. A replica in another failure
+/// domain costs bytes between domains and is taken only when it is clearly
+/// faster; one that is down or leaving is not taken; one that has been asked
+/// is not asked again.
+[[nodiscard]] std::optional<placement_choice>
+choose_replica(std::span<const candidate> candidates,
+               const placement_query& query);
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/query_service.hpp
@@ -0,0 +1,64 @@
+/// Answers callers' requests by the routes in force.
+#pragma once
+
+#include "node/connection/caller_presence.hpp"
+#include "node/request/caller_query.hpp"
+#include "node/request/forward_session.hpp"
+#include "node/request/gather_session.hpp"
+#include "node/request/request_services.hpp"
+#include "node/version/route_table.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace basilpath
+{
+
+/// Chooses the route of each request and runs its session.
+template <runtime Runtime, target_transport Transport>
+class query_service
+{
+public:
+    explicit query_service(request_services<Runtime, Transport>& shared)
+        : shared(shared)
+    {
+    }
+
+    /// Takes the routes for requests to come.
+    void set_routes(std::shared_ptr<const route_table> routes)
+    {
+        this->routes = std::move(routes);
+    }
+
+    /// Answers one request.
+    boost::asio::awaitable<caller_reply>
+    answer(std::shared_ptr<const caller_query> query,
+           std::shared_ptr<caller_presence> presence);
+
+private:
+    boost::asio::awaitable<caller_reply>
+    gather(std::shared_ptr<const route_table> table, const route& rule,
+           std::shared_ptr<const caller_query> query,
+           std::shared_ptr<caller_presence> presence);
+    boost::asio::awaitable<caller_reply>
+    forward(std::shared_ptr<const route_table> table, const route& rule,
+            std::shared_ptr<const caller_query> query,
+            std::shared_ptr<caller_presence> presence);
+    [[nodiscard]] caller_reply refuse(unsigned status, std::string reason);
+    [[nodiscard]] milliseconds spent(const route& rule, milliseconds patience);
+    [[nodiscard]] service_name choose_part(const route& rule);
+
+    request_services<Runtime, Transport>& shared;
+    std::shared_ptr<const route_table> routes;
+
+    /// The longest patience seen on each route: that of a first attempt.
+    std::map<std::string, milliseconds> first_patience;
+
+    /// How far each part of a split is behind its weight.
+    std::map<service_name, double> part_credit;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/target_pool.hpp
@@ -0,0 +1,134 @@
+/// Connections to replicas, and what is known of each.
+#pragma once
+
+#include "node/connection/target_connection.hpp"
+#include "node/process/placement.hpp"
+#include "node/process/target_health.hpp"
+#include "node/request/target_call.hpp"
+#include "node/version/replica.hpp"
+#include "node/version/route_table.hpp"
+#include "process/latency_tracker.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace basilpath
+{
+
+/// What a route's calls to replicas have lately taken.
+struct route_latency
+{
+    microseconds usual{0};
+
+    /// A call that has taken longer than this is likely to be a straggler.
+    microseconds slow{0};
+};
+
+/// The transport of sessions to replicas. Keeps this host's share of each
+/// replica's connections, and queues calls when all of them are busy. Used on
+/// one thread.
+template <target_codec Codec>
+class target_pool
+{
+public:
+    target_pool(boost::asio::io_context& context, failure_domain domain);
+
+    /// Begins to sweep connections and to check replicas that are down.
+    void start();
+
+    /// Takes a replica, new or changed.
+    void set_replica(const replica& one);
+
+    /// A replica is off the list; it is used for `patience` more, and only
+    /// when there is no other, in case it comes back.
+    void drop_replica(const leaf_id& id, milliseconds patience);
+
+    /// Takes the connection bounds of services.
+    void set_routes(std::shared_ptr<const route_table> routes);
+
+    /// Takes the number of hosts that share each replica's connections.
+    void set_host_count(std::size_t hosts);
+
+    /// The replicas of a service.
+    [[nodiscard]] std::vector<candidate>
+    candidates(const service_name& service) const;
+
+    /// Starts a call.
+    void send(const std::shared_ptr<target_call>& call);
+
+    /// The session does not wait for this call any more. It may end by itself
+    /// within `grace`, then its connection is closed.
+    void give_up(const std::shared_ptr<target_call>& call, milliseconds grace);
+
+    /// What calls of a route have lately taken.
+    [[nodiscard]] route_latency latency(const std::string& route) const;
+
+    [[nodiscard]] const failure_domain& domain() const
+    {
+        return this->own_domain;
+    }
+
+    [[nodiscard]] std::size_t replica_count() const
+    {
+        return this->entries.size();
+    }
+
+private:
+    using connection = target_connection<Codec>;
+
+    /// A replica with its connections and the calls that wait for one.
+    struct entry
+    {
+        replica target;
+        target_health health;
+        std::vector<std::shared_ptr<connection>> connections;
+        std::deque<std::shared_ptr<target_call>> waiting;
+        instant gone_at{};
+        bool lapsed = false;
+    };
+
+    using entry_pointer = std::shared_ptr<entry>;
+
+    /// Latencies of one route and the quantiles last taken from them.
+    struct route_statistics
+    {
+        latency_tracker recent;
+        route_latency now;
+        unsigned since_update = 0;
+    };
+
+    void open(const entry_pointer& one);
+    void serve_next(const entry_pointer& one,
+                    const std::shared_ptr<connection>& idle);
+    void take_result(const entry_pointer& one,
+                     const std::shared_ptr<target_call>& call,
+                     target_result result);
+    void take_closed(const entry_pointer& one,
+                     const std::shared_ptr<connection>& ended, bool made);
+    void fail_waiting(const entry_pointer& one);
+    void note_latency(const std::string& route, instant now,
+                      microseconds latency);
+    void sweep_entry(const entry_pointer& one, instant now);
+    boost::asio::awaitable<void> sweep();
+    boost::asio::awaitable<void> probe(entry_pointer one);
+    [[nodiscard]] std::size_t connection_bound(const entry& one) const;
+    void close_connections(const entry_pointer& one);
+    static instant now();
+
+    boost::asio::io_context& context;
+    failure_domain own_domain;
+    std::map<leaf_id, entry_pointer> entries;
+    std::map<service_name, std::vector<entry_pointer>> by_service;
+    std::map<std::string, route_statistics> routes;
+    std::shared_ptr<const route_table> table;
+    std::size_t host_count = 1;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/target_pool.ipp
@@ -0,0 +1,496 @@
+#include "node/connection/endpoint.hpp"
+#include "node/connection/http_client.hpp"
+#include "node/connection/target_connection.ipp"
+#include "node/process/target_pool.hpp"
+#include "process/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace target_pool_bounds
+{
+
+/// How often connections are looked through; the least time by which a call
+/// may overrun its end.
+inline constexpr milliseconds sweep_interval{20};
+
+/// A connection that takes longer is given up: the replica is dark, or its
+/// queue of new connections is full.
+inline constexpr milliseconds connect_limit{400};
+
+/// An idle connection older than this may be just being closed by the replica,
+/// and does not carry what must not be sent twice.
+inline constexpr milliseconds fresh_limit{500};
+
+/// An idle connection is closed this much before the replica would.
+inline constexpr milliseconds idle_margin{1'000};
+
+/// How long a health check may take.
+inline constexpr milliseconds probe_limit{400};
+
+/// What a call is taken to last before any has been seen.
+inline constexpr microseconds first_usual{10'000};
+inline constexpr microseconds first_slow{30'000};
+
+/// Share of the calls of a route that are not stragglers.
+inline constexpr double straggler_quantile = 0.92;
+
+/// Quantiles are taken anew after this many calls.
+inline constexpr unsigned update_calls = 32;
+
+} // namespace target_pool_bounds
+
+template <target_codec Codec>
+target_pool<Codec>::target_pool(boost::asio::io_context& context,
+                                failure_domain domain)
+    : context(context), own_domain(std::move(domain))
+{
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::start()
+{
+    boost::asio::co_spawn(this->context, this->sweep(), boost::asio::detached);
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::set_replica(const replica& one)
+{
+    const auto found = this->entries.find(one.id);
+    if (found != this->entries.end())
+    {
+        const entry_pointer& known = found->second;
+        const bool same_process = known->target.started == one.started &&
+                                  known->target.address == one.address &&
+                                  known->target.service == one.service;
+        if (same_process)
+        {
+            known->target = one;
+            known->lapsed = false;
+            return;
+        }
+        this->drop_replica(one.id, milliseconds(0));
+    }
+    const auto made = std::make_shared<entry>(
+        entry{one, target_health(one.slots, one.warmup, now()), {}, {}, {},
+              false});
+    this->entries[one.id] = made;
+    this->by_service[one.service].push_back(made);
+    this->open(made);
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::drop_replica(const leaf_id& id, milliseconds patience)
+{
+    const auto found = this->entries.find(id);
+    if (found == this->entries.end())
+    {
+        return;
+    }
+    const entry_pointer one = found->second;
+    if (patience > milliseconds(0))
+    {
+        one->lapsed = true;
+        one->gone_at = now() + patience;
+        return;
+    }
+    std::erase(this->by_service[one->target.service], one);
+    this->entries.erase(found);
+    this->fail_waiting(one);
+    for (const auto& open : one->connections)
+    {
+        if (open->idle())
+        {
+            open->close();
+        }
+    }
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::set_routes(std::shared_ptr<const route_table> routes)
+{
+    this->table = std::move(routes);
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::set_host_count(std::size_t hosts)
+{
+    this->host_count = std::max<std::size_t>(hosts, 1);
+}
+
+template <target_codec Codec>
+std::vector<candidate>
+target_pool<Codec>::candidates(const service_name& service) const
+{
+    std::vector<candidate> result;
+    const auto found = this->by_service.find(service);
+    if (found == this->by_service.end())
+    {
+        return result;
+    }
+    std::ranges::transform(found->second, std::back_inserter(result),
+                           [](const entry_pointer& one) {
+                               return candidate{&one->target, &one->health,
+                                                one->lapsed};
+                           });
+    return result;
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::send(const std::shared_ptr<target_call>& call)
+{
+    const auto found = this->entries.find(call->to);
+    if (found == this->entries.end())
+    {
+        call->done({call_end::unsent, {}, microseconds(0)});
+        return;
+    }
+    const entry_pointer one = found->second;
+    const instant time = now();
+    const auto idle = std::ranges::find_if(
+        one->connections,
+        [&](const auto& open)
+        {
+            return open->idle() &&
+                   (!call->fresh ||
+                    time - open->since() < target_pool_bounds::fresh_limit);
+        });
+    one->health.on_sent(time);
+    if (idle != one->connections.end())
+    {
+        const auto chosen = *idle;
+        chosen->send(call, time);
+        return;
+    }
+    one->waiting.push_back(call);
+    if (one->connections.size() >= this->connection_bound(*one))
+    {
+        // A call that needs a fresh connection takes the place of an old one.
+        const auto old = std::ranges::find_if(
+            one->connections, [](const auto& open) { return open->idle(); });
+        if (old == one->connections.end())
+        {
+            return;
+        }
+        (*old)->close();
+    }
+    this->open(one);
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::give_up(const std::shared_ptr<target_call>& call,
+                                 milliseconds grace)
+{
+    call->given_up = true;
+    call->done = nullptr;
+    call->cut_at = now() + grace;
+}
+
+template <target_codec Codec>
+route_latency target_pool<Codec>::latency(const std::string& route) const
+{
+    const auto found = this->routes.find(route);
+    if (found == this->routes.end() ||
+        found->second.now.usual == microseconds(0))
+    {
+        return {target_pool_bounds::first_usual,
+                target_pool_bounds::first_slow};
+    }
+    return found->second.now;
+}
+
+// Opens one more connection; it serves the calls that wait once it is made.
+template <target_codec Codec>
+void target_pool<Codec>::open(const entry_pointer& one)
+{
+    const auto address = to_endpoint(one->target.address.value);
+    if (!address)
+    {
+        this->fail_waiting(one);
+        return;
+    }
+    const std::weak_ptr<entry> weak = one;
+    typename connection::events told;
+    told.ready = [this, weak](const std::shared_ptr<connection>& idle)
+    {
+        if (const auto owner = weak.lock())
+        {
+            this->serve_next(owner, idle);
+        }
+    };
+    told.result =
+        [this, weak](const std::shared_ptr<target_call>& call,
+                     target_result result)
+    {
+        if (const auto owner = weak.lock())
+        {
+            this->take_result(owner, call, std::move(result));
+        }
+        else if (call->done)
+        {
+            call->done(std::move(result));
+        }
+    };
+    told.closed =
+        [this, weak](const std::shared_ptr<connection>& ended, bool made)
+    {
+        if (const auto owner = weak.lock())
+        {
+            this->take_closed(owner, ended, made);
+        }
+    };
+    const auto opened = std::make_shared<connection>(
+        this->context.get_executor(), *address, std::move(told));
+    one->connections.push_back(opened);
+    boost::asio::co_spawn(this->context, opened->run(), boost::asio::detached);
+}
+
+// Gives an idle connection the next call that still waits.
+template <target_codec Codec>
+void target_pool<Codec>::serve_next(const entry_pointer& one,
+                                    const std::shared_ptr<connection>& idle)
+{
+    const instant time = now();
+    while (!one->waiting.empty())
+    {
+        const auto call = one->waiting.front();
+        one->waiting.pop_front();
+        if (call->given_up)
+        {
+            one->health.on_withdrawn(time, false);
+            continue;
+        }
+        idle->send(call, time);
+        return;
+    }
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::take_result(const entry_pointer& one,
+                                     const std::shared_ptr<target_call>& call,
+                                     target_result result)
+{
+    const instant time = now();
+    if (result.end == call_end::answered)
+    {
+        const bool good = result.reply.success();
+        if (good)
+        {
+            this->note_latency(call->route, time, result.latency);
+        }
+        one->health.on_answer(time, result.latency,
+                              this->latency(call->route).usual,
+                              result.reply.load, good);
+        if (result.reply.misdirected())
+        {
+            log_event(log_level::info, "replica_misdirected",
+                      {{"replica", one->target.id.value}});
+            this->drop_replica(one->target.id, milliseconds(0));
+        }
+    }
+    else if (call->given_up)
+    {
+        one->health.on_withdrawn(time, one->health.silent(time));
+    }
+    else
+    {
+        one->health.on_broken(time);
+    }
+    if (call->done)
+    {
+        const auto done = std::exchange(call->done, nullptr);
+        done(std::move(result));
+    }
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::take_closed(const entry_pointer& one,
+                                     const std::shared_ptr<connection>& ended,
+                                     bool made)
+{
+    std::erase(one->connections, ended);
+    if (!made)
+    {
+        const bool was_down = one->health.down();
+        one->health.on_refused(now());
+        if (!was_down && one->health.down())
+        {
+            log_event(log_level::info, "replica_down",
+                      {{"replica", one->target.id.value},
+                       {"service", one->target.service.value},
+                       {"reason", "no connection"}});
+        }
+        if (one->connections.empty())
+        {
+            this->fail_waiting(one);
+        }
+        return;
+    }
+    if (!one->waiting.empty())
+    {
+        this->open(one);
+    }
+}
+
+// Ends the calls that wait for a connection; none of them has left.
+template <target_codec Codec>
+void target_pool<Codec>::fail_waiting(const entry_pointer& one)
+{
+    const auto waiting = std::exchange(one->waiting, {});
+    for (const auto& call : waiting)
+    {
+        one->health.on_withdrawn(now(), false);
+        if (call->done)
+        {
+            const auto done = std::exchange(call->done, nullptr);
+            done({call_end::unsent, {}, microseconds(0)});
+        }
+    }
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::note_latency(const std::string& route, instant now,
+                                      microseconds latency)
+{
+    route_statistics& statistics = this->routes[route];
+    statistics.recent.record(now, latency);
+    if (statistics.since_update++ % target_pool_bounds::update_calls != 0)
+    {
+        return;
+    }
+    const auto middle = statistics.recent.quantile(0.5);
+    const auto slow =
+        statistics.recent.quantile(target_pool_bounds::straggler_quantile);
+    if (middle && slow)
+    {
+        statistics.now = {*middle, *slow};
+    }
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::sweep_entry(const entry_pointer& one, instant time)
+{
+    const auto open_connections = one->connections;
+    for (const auto& open : open_connections)
+    {
+        const auto& call = open->carried();
+        const bool cut =
+            call && ((call->given_up && time >= call->cut_at) ||
+                     time >= call->deadline);
+        const bool stuck =
+            open->connecting() &&
+            time - open->since() > target_pool_bounds::connect_limit;
+        const bool old =
+            open->idle() &&
+            time - open->since() >
+                std::max(open->keeps_idle() - target_pool_bounds::idle_margin,
+                         open->keeps_idle() / 2);
+        if (cut || stuck || old)
+        {
+            open->close();
+        }
+    }
+    while (!one->waiting.empty() &&
+           (one->waiting.front()->given_up ||
+            time >= one->waiting.front()->deadline))
+    {
+        const auto call = one->waiting.front();
+        one->waiting.pop_front();
+        one->health.on_withdrawn(time, false);
+        if (call->done)
+        {
+            const auto done = std::exchange(call->done, nullptr);
+            done({call_end::unsent, {}, microseconds(0)});
+        }
+    }
+    if (one->health.down() && time >= one->health.next_probe())
+    {
+        one->health.on_probe_started(time);
+        boost::asio::co_spawn(this->context, this->probe(one),
+                              boost::asio::detached);
+    }
+}
+
+template <target_codec Codec>
+boost::asio::awaitable<void> target_pool<Codec>::sweep()
+{
+    boost::asio::steady_timer timer(this->context);
+    while (true)
+    {
+        timer.expires_after(target_pool_bounds::sweep_interval);
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        const instant time = now();
+        std::vector<leaf_id> gone;
+        for (const auto& [id, one] : this->entries)
+        {
+            this->sweep_entry(one, time);
+            if (one->lapsed && time >= one->gone_at)
+            {
+                gone.push_back(id);
+            }
+        }
+        for (const leaf_id& id : gone)
+        {
+            log_event(log_level::info, "replica_gone", {{"replica", id.value}});
+            this->drop_replica(id, milliseconds(0));
+        }
+    }
+}
+
+// Asks a replica that is down for its health, on a connection of its own.
+template <target_codec Codec>
+boost::asio::awaitable<void> target_pool<Codec>::probe(entry_pointer one)
+{
+    const service_rule* rule =
+        this->table ? this->table->service(one->target.service) : nullptr;
+    const std::string path = rule ? rule->health_path : "/health";
+    node_http_client client(this->context.get_executor(),
+                            one->target.address);
+    auto response =
+        co_await client.get(path, target_pool_bounds::probe_limit);
+    client.close();
+    const bool answered = response.has_value() &&
+                          Codec::replica_named(*response) == one->target.id;
+    const bool good = answered && response->result_int() == 200;
+    if (!good)
+    {
+        co_return;
+    }
+    const target_reply reply = Codec::decode_reply(std::move(*response));
+    one->health.on_probe(now(), true, reply.load);
+    log_event(log_level::info, "replica_up",
+              {{"replica", one->target.id.value},
+               {"service", one->target.service.value}});
+    if (one->connections.empty() && this->entries.contains(one->target.id))
+    {
+        this->open(one);
+    }
+}
+
+template <target_codec Codec>
+std::size_t target_pool<Codec>::connection_bound(const entry& one) const
+{
+    const service_rule* rule =
+        this->table ? this->table->service(one.target.service) : nullptr;
+    const std::size_t limit = rule ? rule->connections : one.target.slots;
+    return std::max<std::size_t>(1, limit / this->host_count);
+}
+
+template <target_codec Codec>
+instant target_pool<Codec>::now()
+{
+    return to_instant(std::chrono::steady_clock::now());
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/request/forward_session.hpp
@@ -0,0 +1,96 @@
+/// One request that a single replica answers.
+#pragma once
+
+#include "node/connection/caller_presence.hpp"
+#include "node/process/forward_policy.hpp"
+#include "node/request/request_services.hpp"
+#include "node/request/target_call.hpp"
+#include "node/version/route_table.hpp"
+#include "request/mailbox.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace basilpath
+{
+
+/// How a forwarded request ended.
+enum class forward_end : std::uint8_t
+{
+    answered,    ///< a replica answered, perhaps with a failure
+    caller_left, ///< nobody waits for the answer
+    not_run,     ///< no replica has run it or will
+    may_have_run ///< it was sent, and no whole answer came
+};
+
+struct forward_result
+{
+    forward_end end = forward_end::not_run;
+    target_reply reply;
+
+    /// Sends beyond the first.
+    std::size_t repeats = 0;
+};
+
+/// Sends a request to one replica of a service, and to another when it fails
+/// or is slow and may be repeated. What may not be repeated is sent again only
+/// when the replica says that it did not run it.
+template <runtime Runtime, target_transport Transport>
+class forward_session
+    : public std::enable_shared_from_this<forward_session<Runtime, Transport>>
+{
+public:
+    using services = request_services<Runtime, Transport>;
+
+    forward_session(services& shared, std::shared_ptr<const route_table> table,
+                    const route& rule, service_name service,
+                    std::shared_ptr<const caller_query> query,
+                    forward_times times);
+
+    /// Runs the request to its end.
+    boost::asio::awaitable<forward_result>
+    run(std::shared_ptr<caller_presence> presence);
+
+private:
+    /// The result of a call.
+    struct call_event
+    {
+        std::shared_ptr<target_call> call;
+        target_result result;
+    };
+
+    bool ask();
+    [[nodiscard]] bool is_repeat() const;
+    [[nodiscard]] std::optional<forward_result> take(call_event event);
+    [[nodiscard]] forward_result conclude(forward_end end);
+    [[nodiscard]] instant now() const;
+
+    services& shared;
+    std::shared_ptr<const route_table> table;
+    const route& rule;
+    service_name service;
+    std::shared_ptr<const caller_query> query;
+    forward_plan plan;
+    std::vector<leaf_id> asked;
+    std::vector<std::shared_ptr<target_call>> calls;
+
+    /// Calls that left or still may.
+    std::size_t sends = 0;
+
+    /// A call has reached a replica, so that a further one is a repeat.
+    bool arrived = false;
+    instant hedge_at{};
+
+    /// A replica may have run the request.
+    bool may_have_run = false;
+
+    /// The last failure that a replica answered with.
+    std::optional<target_reply> failure;
+    mailbox<Runtime, call_event> events;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/request/forward_session.ipp
@@ -0,0 +1,201 @@
+#include "node/request/forward_session.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace forward_bounds
+{
+
+/// How long a call that is not waited for any more may run on; what takes
+/// longer is cut, so that a replica does not work for a caller that has gone.
+inline constexpr milliseconds withdrawal_grace{200};
+
+} // namespace forward_bounds
+
+template <runtime Runtime, target_transport Transport>
+forward_session<Runtime, Transport>::forward_session(
+    services& shared, std::shared_ptr<const route_table> table,
+    const route& rule, service_name service,
+    std::shared_ptr<const caller_query> query, forward_times times)
+    : shared(shared), table(std::move(table)), rule(rule),
+      service(std::move(service)), query(std::move(query)),
+      plan(plan_forward(rule, times)), events(shared.run)
+{
+}
+
+template <runtime Runtime, target_transport Transport>
+boost::asio::awaitable<forward_result>
+forward_session<Runtime, Transport>::run(
+    std::shared_ptr<caller_presence> presence)
+{
+    const auto self = this->shared_from_this();
+    presence->on_gone([weak = this->weak_from_this()]
+                      {
+                          if (const auto session = weak.lock())
+                          {
+                              session->events.wake();
+                          }
+                      });
+    this->shared.repeats.note_request(this->service, this->now());
+    if (!this->ask())
+    {
+        co_return this->conclude(forward_end::not_run);
+    }
+    while (true)
+    {
+        const bool may_hedge = this->rule.idempotent &&
+                               this->sends < this->rule.attempts;
+        const instant until = may_hedge
+                                  ? std::min(this->hedge_at, this->plan.deadline)
+                                  : this->plan.deadline;
+        auto event = co_await this->events.pop_until(
+            to_clock<typename Runtime::clock>(until));
+        while (event)
+        {
+            auto ended = this->take(std::move(*event));
+            if (ended)
+            {
+                co_return std::move(*ended);
+            }
+            event = this->events.take();
+        }
+        const instant time = this->now();
+        if (presence->gone())
+        {
+            co_return this->conclude(forward_end::caller_left);
+        }
+        if (time >= this->plan.deadline)
+        {
+            co_return this->conclude(forward_end::may_have_run);
+        }
+        if (may_hedge && time >= this->hedge_at)
+        {
+            this->ask();
+            this->hedge_at = this->plan.deadline;
+        }
+    }
+}
+
+// Sends the request to the best replica that has not been asked.
+template <runtime Runtime, target_transport Transport>
+bool forward_session<Runtime, Transport>::ask()
+{
+    const instant time = this->now();
+    const std::vector<candidate> candidates =
+        this->shared.targets.candidates(this->service);
+    const microseconds usual =
+        this->shared.targets.latency(this->rule.name).usual;
+    const auto choice = choose_replica(
+        candidates, {time, usual, &this->shared.targets.domain(), this->asked,
+                     this->shared.run.random()});
+    if (!choice ||
+        (this->is_repeat() && !this->shared.repeats.try_spend(this->service, time)))
+    {
+        return false;
+    }
+    const auto call = std::make_shared<target_call>();
+    call->query = this->query;
+    call->to = candidates[choice->index].target->id;
+    call->route = this->rule.name;
+    call->deadline = this->plan.deadline;
+    call->fresh = !this->rule.idempotent;
+    call->done = [weak = this->weak_from_this(),
+                  raw = std::weak_ptr<target_call>(call)](target_result result)
+    {
+        if (const auto session = weak.lock())
+        {
+            session->events.push({raw.lock(), std::move(result)});
+        }
+    };
+    this->asked.push_back(call->to);
+    this->calls.push_back(call);
+    this->hedge_at = time + this->plan.hedge_after;
+    ++this->sends;
+    this->shared.targets.send(call);
+    return true;
+}
+
+template <runtime Runtime, target_transport Transport>
+bool forward_session<Runtime, Transport>::is_repeat() const
+{
+    return this->arrived ||
+           std::ranges::any_of(this->calls, [](const auto& call)
+                               { return call->on_wire; });
+}
+
+// Takes the result of a call; returns the end of the request, if it is that.
+template <runtime Runtime, target_transport Transport>
+std::optional<forward_result>
+forward_session<Runtime, Transport>::take(call_event event)
+{
+    std::erase(this->calls, event.call);
+    target_result& result = event.result;
+    if (result.end == call_end::unsent)
+    {
+        --this->sends;
+    }
+    else
+    {
+        this->arrived = true;
+    }
+    const bool answered = result.end == call_end::answered;
+    const bool ran = (answered && !result.reply.not_executed) ||
+                     result.end == call_end::broken;
+    this->may_have_run = this->may_have_run || ran;
+    const bool final_answer =
+        answered && ran && (result.reply.success() || !this->rule.idempotent);
+    if (final_answer)
+    {
+        this->failure = std::move(result.reply);
+        return this->conclude(forward_end::answered);
+    }
+    if (answered && ran)
+    {
+        this->failure = std::move(result.reply);
+    }
+    const bool repeatable = this->rule.idempotent || !this->may_have_run;
+    const bool more = this->sends < this->rule.attempts;
+    if (repeatable && more && this->ask())
+    {
+        return std::nullopt;
+    }
+    if (!this->calls.empty())
+    {
+        return std::nullopt;
+    }
+    if (this->failure)
+    {
+        return this->conclude(forward_end::answered);
+    }
+    return this->conclude(this->may_have_run ? forward_end::may_have_run
+                                             : forward_end::not_run);
+}
+
+template <runtime Runtime, target_transport Transport>
+forward_result forward_session<Runtime, Transport>::conclude(forward_end end)
+{
+    for (const auto& call : this->calls)
+    {
+        this->shared.targets.give_up(call, forward_bounds::withdrawal_grace);
+    }
+    this->calls.clear();
+    forward_result result;
+    result.end = end;
+    result.repeats = this->sends > 0 ? this->sends - 1 : 0;
+    if (this->failure)
+    {
+        result.reply = std::move(*this->failure);
+    }
+    return result;
+}
+
+template <runtime Runtime, target_transport Transport>
+instant forward_session<Runtime, Transport>::now() const
+{
+    return to_instant(Runtime::clock::now());
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/request/gather_session.ipp
@@ -0,0 +1,302 @@
+#include "node/request/gather_session.hpp"
+
+#include "node/request/record_merge.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace gather_bounds
+{
+
+/// A call that is not waited for any more may run on for this long, which is
+/// cheaper for the replica than a new connection, and no longer, so that it
+/// does not hold a slot for nobody.
+inline constexpr milliseconds withdrawal_grace{300};
+
+} // namespace gather_bounds
+
+template <runtime Runtime, target_transport Transport>
+gather_session<Runtime, Transport>::gather_session(
+    services& shared, std::shared_ptr<const route_table> table,
+    const route& rule, std::shared_ptr<const caller_query> query,
+    gather_times times)
+    : shared(shared), table(std::move(table)), rule(rule),
+      query(std::move(query)), plan(plan_gather(rule, times)),
+      needed(parts_needed(rule.gather)), shards(rule.gather.shards.size()),
+      events(shared.run)
+{
+}
+
+template <runtime Runtime, target_transport Transport>
+boost::asio::awaitable<gather_result>
+gather_session<Runtime, Transport>::run(
+    std::shared_ptr<caller_presence> presence)
+{
+    const auto self = this->shared_from_this();
+    presence->on_gone([weak = this->weak_from_this()]
+                      {
+                          if (const auto session = weak.lock())
+                          {
+                              session->events.wake();
+                          }
+                      });
+
+    // Step 1. Ask one replica of each shard.
+    this->usual = this->shared.targets.latency(this->rule.name).usual;
+    for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
+    {
+        this->shared.repeats.note_request(this->rule.gather.shards[shard],
+                                          this->now());
+        this->ask(shard);
+    }
+    if (this->out_of_reach())
+    {
+        co_return this->conclude(this->any_sent ? gather_end::out_of_reach
+                                                : gather_end::not_attempted);
+    }
+
+    // Step 2. Take what comes, ask again where it pays.
+    while (true)
+    {
+        const auto until = this->next_wake(this->now());
+        auto event = co_await this->events.pop_until(
+            to_clock<typename Runtime::clock>(until));
+        while (event)
+        {
+            this->take(std::move(*event));
+            event = this->events.take();
+        }
+        const instant time = this->now();
+        if (presence->gone())
+        {
+            co_return this->conclude(gather_end::caller_left);
+        }
+        const bool enough = this->parts >= this->needed;
+        if (this->parts + this->failures == this->shards.size() && enough)
+        {
+            co_return this->conclude(gather_end::answered);
+        }
+        if (enough && time >= this->plan.cutoff)
+        {
+            co_return this->conclude(gather_end::answered);
+        }
+        if (this->out_of_reach())
+        {
+            co_return this->conclude(gather_end::out_of_reach);
+        }
+        if (time >= this->plan.deadline)
+        {
+            co_return this->conclude(gather_end::timed_out);
+        }
+        this->hedge_due(time);
+    }
+}
+
+// Sends the query to the best replica of a shard that has not been asked.
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::ask(std::size_t shard)
+{
+    shard_state& state = this->shards[shard];
+    const service_name& service = this->rule.gather.shards[shard];
+    const instant time = this->now();
+    const bool repeat = this->is_repeat(state);
+    const std::vector<candidate> candidates =
+        this->shared.targets.candidates(service);
+    const auto choice = choose_replica(
+        candidates, {time, this->usual, &this->shared.targets.domain(),
+                     state.asked, this->shared.run.random()});
+    const bool allowed = choice && (!repeat || this->shared.repeats.try_spend(
+                                                   service, time));
+    if (!allowed)
+    {
+        if (state.calls.empty() && !state.part && !state.failed)
+        {
+            state.failed = true;
+            ++this->failures;
+        }
+        return;
+    }
+    this->repeats += repeat ? 1 : 0;
+    const leaf_id chosen = candidates[choice->index].target->id;
+    state.hedge_at = time + this->plan.hedge_after;
+    this->start_call(shard, chosen);
+}
+
+template <runtime Runtime, target_transport Transport>
+bool gather_session<Runtime, Transport>::is_repeat(
+    const shard_state& state) const
+{
+    return state.arrived ||
+           std::ranges::any_of(state.calls, [](const auto& call)
+                               { return call->on_wire; });
+}
+
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::start_call(std::size_t shard,
+                                                    const leaf_id& to)
+{
+    shard_state& state = this->shards[shard];
+    const auto call = std::make_shared<target_call>();
+    call->query = this->query;
+    call->to = to;
+    call->route = this->rule.name;
+    call->deadline = this->plan.deadline;
+    call->done = [weak = this->weak_from_this(), shard,
+                  raw = std::weak_ptr<target_call>(call)](target_result result)
+    {
+        if (const auto session = weak.lock())
+        {
+            session->events.push({shard, raw.lock(), std::move(result)});
+        }
+    };
+    state.asked.push_back(to);
+    ++state.sends;
+    state.calls.push_back(call);
+    this->any_sent = true;
+    this->shared.targets.send(call);
+}
+
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::take(shard_event event)
+{
+    shard_state& state = this->shards[event.shard];
+    std::erase(state.calls, event.call);
+    if (event.result.end == call_end::unsent)
+    {
+        --state.sends;
+    }
+    else
+    {
+        state.arrived = true;
+    }
+    const target_reply& reply = event.result.reply;
+    const bool part = event.result.end == call_end::answered &&
+                      reply.success() && !reply.signature.empty();
+    if (state.part)
+    {
+        return;
+    }
+    if (part)
+    {
+        state.part = std::move(event.result.reply);
+        ++this->parts;
+        for (const auto& other : state.calls)
+        {
+            this->shared.targets.give_up(other,
+                                         gather_bounds::withdrawal_grace);
+        }
+        state.calls.clear();
+        return;
+    }
+    this->retry_or_fail(event.shard);
+}
+
+// A call of this shard failed: asks another replica while that is allowed.
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::retry_or_fail(std::size_t shard)
+{
+    shard_state& state = this->shards[shard];
+    if (state.sends < this->rule.attempts)
+    {
+        this->ask(shard);
+    }
+    if (state.calls.empty() && !state.failed)
+    {
+        state.failed = true;
+        ++this->failures;
+    }
+}
+
+// Asks a second replica of the shards that have been quiet for too long.
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::hedge_due(instant time)
+{
+    for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
+    {
+        shard_state& state = this->shards[shard];
+        const bool due = !state.part && !state.failed &&
+                         state.sends < this->rule.attempts &&
+                         time >= state.hedge_at;
+        if (due)
+        {
+            this->ask(shard);
+            state.hedge_at = this->plan.deadline;
+        }
+    }
+}
+
+template <runtime Runtime, target_transport Transport>
+instant gather_session<Runtime, Transport>::next_wake(instant time) const
+{
+    instant next = this->plan.deadline;
+    if (time < this->plan.cutoff)
+    {
+        next = std::min(next, this->plan.cutoff);
+    }
+    for (const shard_state& state : this->shards)
+    {
+        if (!state.part && !state.failed &&
+            state.sends < this->rule.attempts)
+        {
+            next = std::min(next, state.hedge_at);
+        }
+    }
+    return next;
+}
+
+template <runtime Runtime, target_transport Transport>
+bool gather_session<Runtime, Transport>::out_of_reach() const
+{
+    return this->shards.size() - this->failures < this->needed;
+}
+
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::give_up_calls()
+{
+    for (shard_state& state : this->shards)
+    {
+        for (const auto& call : state.calls)
+        {
+            this->shared.targets.give_up(call,
+                                         gather_bounds::withdrawal_grace);
+        }
+        state.calls.clear();
+    }
+}
+
+template <runtime Runtime, target_transport Transport>
+gather_result gather_session<Runtime, Transport>::conclude(gather_end end)
+{
+    this->give_up_calls();
+    gather_result result;
+    result.end = end;
+    result.failed = this->shards.size() - this->parts;
+    result.repeats = this->repeats;
+    if (end != gather_end::answered)
+    {
+        return result;
+    }
+    std::vector<std::string_view> bodies;
+    for (const shard_state& state : this->shards)
+    {
+        if (state.part)
+        {
+            result.answer.signatures.push_back(state.part->signature);
+            bodies.push_back(state.part->body);
+        }
+    }
+    result.answer.missing = this->shards.size() - this->parts;
+    result.answer.records = merge_records(bodies, this->rule.gather.most_records);
+    return result;
+}
+
+template <runtime Runtime, target_transport Transport>
+instant gather_session<Runtime, Transport>::now() const
+{
+    return to_instant(Runtime::clock::now());
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/request/request_services.hpp
@@ -0,0 +1,20 @@
+/// What the sessions of one host share.
+#pragma once
+
+#include "node/process/repeat_budget.hpp"
+#include "node/request/target_transport.hpp"
+#include "process/runtime.hpp"
+
+namespace basilpath
+{
+
+/// Lives as long as the process.
+template <runtime Runtime, target_transport Transport>
+struct request_services
+{
+    Runtime& run;
+    Transport& targets;
+    repeat_budget& repeats;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/version/item_view.cpp
@@ -0,0 +1,125 @@
+#include "node/version/item_view.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace basilpath
+{
+
+bool item_view::apply(const view_update& update)
+{
+    if (update.after == 0)
+    {
+        if (update.revision < this->current)
+        {
+            return false;
+        }
+        this->replace(update);
+        return true;
+    }
+    if (update.after > this->current || update.revision < this->current)
+    {
+        return false;
+    }
+    for (const item_change& one : update.changes)
+    {
+        this->change(one);
+    }
+    this->current = update.revision;
+    return true;
+}
+
+view_update item_view::since(store_revision after) const
+{
+    view_update update;
+    const bool whole = after == 0 || after < this->removals_from;
+    update.after = whole ? 0 : after;
+    update.revision = this->current;
+    for (const auto& [key, item] : this->items)
+    {
+        if (whole || item.revision > after)
+        {
+            update.changes.push_back({key, item.value, item.revision});
+        }
+    }
+    if (!whole)
+    {
+        for (auto one = this->removals.upper_bound(after);
+             one != this->removals.end(); ++one)
+        {
+            update.changes.push_back({one->second, std::nullopt, one->first});
+        }
+    }
+    return update;
+}
+
+// Removes what a whole view does not name, then takes what it names.
+void item_view::replace(const view_update& update)
+{
+    std::set<std::string> named;
+    for (const item_change& one : update.changes)
+    {
+        named.insert(one.key);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, item] : this->items)
+    {
+        if (!named.contains(key))
+        {
+            missing.push_back(key);
+        }
+    }
+    for (const std::string& key : missing)
+    {
+        this->change({key, std::nullopt, update.revision});
+    }
+    for (const item_change& one : update.changes)
+    {
+        this->change(one);
+    }
+    this->removals.clear();
+    this->removals_from = update.revision;
+    this->current = update.revision;
+}
+
+// Takes one change unless a later one of the same item is already held.
+void item_view::change(const item_change& one)
+{
+    const auto found = this->items.find(one.key);
+    if (!one.value)
+    {
+        if (found == this->items.end() || found->second.revision > one.revision)
+        {
+            return;
+        }
+        this->items.erase(found);
+        this->removals.emplace(one.revision, one.key);
+        if (this->removals.size() > removal_limit)
+        {
+            this->removals_from = this->removals.begin()->first;
+            this->removals.erase(this->removals.begin());
+        }
+        this->on_change(one);
+        return;
+    }
+    if (found != this->items.end())
+    {
+        if (found->second.revision >= one.revision)
+        {
+            return;
+        }
+        const bool same = found->second.value == *one.value;
+        found->second = {*one.value, one.revision};
+        if (same)
+        {
+            return;
+        }
+    }
+    else
+    {
+        this->items.emplace(one.key, held_item{*one.value, one.revision});
+    }
+    this->on_change(one);
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/version/replica.hpp
@@ -0,0 +1,34 @@
+/// One replica of a service, as it registered itself.
+#pragma once
+
+#include "version/ids.hpp"
+
+#include <cstdint>
+
+namespace basilpath
+{
+
+/// A registered leaf. The same id with another start is a new incarnation.
+struct replica
+{
+    leaf_id id;
+    service_name service;
+    http_address address;
+    failure_domain domain;
+
+    /// Requests that it runs at the same time.
+    unsigned slots = 1;
+
+    /// It takes no new work.
+    bool leaving = false;
+
+    /// How much longer it is slow after its start.
+    milliseconds warmup{0};
+
+    /// Unix time of its start in milliseconds; zero when it did not say.
+    std::int64_t started = 0;
+
+    bool operator==(const replica&) const = default;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/version/route_table.cpp
@@ -0,0 +1,49 @@
+#include "node/version/route_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilpath
+{
+
+route_table::route_table(document_number version, std::vector<route> routes,
+                         std::map<service_name, service_rule> services,
+                         caller_limits limits)
+    : number(version), routes(std::move(routes)), services(std::move(services)),
+      bounds(limits)
+{
+    for (const route& one : this->routes)
+    {
+        this->by_host[one.host].push_back(&one);
+    }
+    for (auto& [host, list] : this->by_host)
+    {
+        std::ranges::stable_sort(list, std::ranges::greater{},
+                                 [](const route* one)
+                                 { return one->prefix.size(); });
+    }
+}
+
+const route* route_table::find(std::string_view host,
+                               std::string_view path) const
+{
+    const auto of_host = this->by_host.find(host);
+    if (of_host == this->by_host.end())
+    {
+        return nullptr;
+    }
+    const auto found = std::ranges::find_if(of_host->second,
+                                            [path](const route* one) {
+                                                return path.starts_with(
+                                                    one->prefix);
+                                            });
+    return found == of_host->second.end() ? nullptr : *found;
+}
+
+const service_rule* route_table::service(const service_name& name) const
+{
+    const auto found = this->services.find(name);
+    return found == this->services.end() ? nullptr : &found->second;
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/version/route_table.hpp
@@ -0,0 +1,78 @@
+/// The routes, services and limits of one version of the configuration.
+#pragma once
+
+#include "node/version/route.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilpath
+{
+
+/// What the configuration says of a service.
+struct service_rule
+{
+    /// Path of the health check.
+    std::string health_path;
+
+    /// Most connections that one replica accepts from all hosts together.
+    std::size_t connections = 0;
+};
+
+/// Bounds on what callers may send.
+struct caller_limits
+{
+    std::uint32_t header_bytes = 16'384;
+    std::uint64_t body_bytes = 262'144;
+    milliseconds header_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+};
+
+/// One version of the configuration; never changed once it is in force, and
+/// kept alive by the requests that use it.
+class route_table
+{
+public:
+    route_table(document_number version, std::vector<route> routes,
+                std::map<service_name, service_rule> services,
+                caller_limits limits);
+
+    /// The route of this host with the longest prefix of the path, or null.
+    [[nodiscard]] const route* find(std::string_view host,
+                                    std::string_view path) const;
+
+    /// What is said of a service, or null.
+    [[nodiscard]] const service_rule* service(const service_name& name) const;
+
+    [[nodiscard]] document_number version() const
+    {
+        return this->number;
+    }
+
+    [[nodiscard]] const caller_limits& limits() const
+    {
+        return this->bounds;
+    }
+
+    [[nodiscard]] std::size_t route_count() const
+    {
+        return this->routes.size();
+    }
+
+private:
+    document_number number;
+    std::vector<route> routes;
+
+    /// Routes of each host, longest prefix first.
+    std::map<std::string, std::vector<const route*>, std::less<>> by_host;
+
+    std::map<service_name, service_rule> services;
+    caller_limits bounds;
+};
+
+} // namespace basilpath
