Hosts find each other, share the store's news and steer callers

Change: membership by probes with news on datagrams, the view of the store spread between hosts, two readers with take-over by age, shared bounds divided by the hosts that live or lived a short while ago, the directory names hosts beside the replicas and near the caller.

--- /dev/null
+++ b/src/node/connection/peer_datagram.cpp
@@ -0,0 +1,157 @@
+#include "node/connection/peer_datagram.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace basilpath
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// Messages are arrays in MessagePack, so that names of fields take no room.
+json to_json(const member& one)
+{
+    return json::array({one.address.value, one.counter,
+                        static_cast<unsigned>(one.state), one.start.value,
+                        one.domain.value, one.callers.value, one.ready,
+                        one.processor_share, one.link_mbps});
+}
+
+member to_member(const json& from)
+{
+    member one;
+    one.address = peer_address(from.at(0).get<std::string>());
+    one.counter = from.at(1).get<std::uint64_t>();
+    one.state = static_cast<member_state>(
+        std::min(from.at(2).get<unsigned>(),
+                 static_cast<unsigned>(member_state::dead)));
+    one.start = incarnation(from.at(3).get<std::uint64_t>());
+    one.domain = failure_domain(from.at(4).get<std::string>());
+    one.callers = http_address(from.at(5).get<std::string>());
+    one.ready = from.at(6).get<bool>();
+    one.processor_share = from.at(7).get<double>();
+    one.link_mbps = from.at(8).get<double>();
+    return one;
+}
+
+json to_json(const view_update& update)
+{
+    json changes = json::array();
+    for (const item_change& one : update.changes)
+    {
+        json change = json::array({one.key, one.revision});
+        if (one.value)
+        {
+            change.push_back(*one.value);
+        }
+        changes.push_back(std::move(change));
+    }
+    return json::array({update.after, update.revision, std::move(changes)});
+}
+
+view_update to_update(const json& from)
+{
+    view_update update;
+    update.after = from.at(0).get<store_revision>();
+    update.revision = from.at(1).get<store_revision>();
+    for (const json& one : from.at(2))
+    {
+        item_change change{one.at(0).get<std::string>(), std::nullopt,
+                           one.at(1).get<store_revision>()};
+        if (one.size() > 2)
+        {
+            change.value = one.at(2).get<std::string>();
+        }
+        update.changes.push_back(std::move(change));
+    }
+    return update;
+}
+
+std::string pack(const json& message)
+{
+    std::string bytes;
+    json::to_msgpack(message, bytes);
+    return bytes;
+}
+
+// Reads a message; nothing when a field is missing or of another type, which
+// the JSON library tells by an exception.
+template <class Result, class Reader>
+std::optional<Result> unpack(std::string_view bytes, Reader reader)
+{
+    const json message = json::from_msgpack(bytes, true, false);
+    try
+    {
+        return reader(message);
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode_datagram(const peer_datagram& datagram)
+{
+    json news = json::array();
+    for (const member& one : datagram.news)
+    {
+        news.push_back(to_json(one));
+    }
+    json message = json::array(
+        {static_cast<unsigned>(datagram.kind), to_json(datagram.from),
+         datagram.revision, datagram.age ? json(datagram.age->count()) : json(),
+         std::move(news)});
+    if (datagram.update)
+    {
+        message.push_back(to_json(*datagram.update));
+    }
+    return pack(message);
+}
+
+std::optional<peer_datagram> decode_datagram(std::string_view bytes)
+{
+    return unpack<peer_datagram>(
+        bytes,
+        [](const json& message)
+        {
+            peer_datagram datagram;
+            datagram.kind = static_cast<datagram_kind>(
+                std::min(message.at(0).get<unsigned>(),
+                         static_cast<unsigned>(datagram_kind::news)));
+            datagram.from = to_member(message.at(1));
+            datagram.revision = message.at(2).get<store_revision>();
+            if (!message.at(3).is_null())
+            {
+                datagram.age =
+                    milliseconds(message.at(3).get<std::int64_t>());
+            }
+            for (const json& one : message.at(4))
+            {
+                datagram.news.push_back(to_member(one));
+            }
+            if (message.size() > 5)
+            {
+                datagram.update = to_update(message.at(5));
+            }
+            return datagram;
+        });
+}
+
+std::string encode_update(const view_update& update)
+{
+    return pack(to_json(update));
+}
+
+std::optional<view_update> decode_update(std::string_view bytes)
+{
+    return unpack<view_update>(bytes, [](const json& message)
+                               { return to_update(message); });
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/connection/peer_datagram.hpp
@@ -0,0 +1,55 @@
+/// What hosts send each other in datagrams.
+#pragma once
+
+#include "node/process/member.hpp"
+#include "node/version/item_view.hpp"
+#include "version/ids.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilpath
+{
+
+enum class datagram_kind : std::uint8_t
+{
+    probe,  ///< asks for an answer
+    answer, ///< answers a probe
+    news    ///< wants no answer
+};
+
+/// One datagram. It carries the sender's description of itself, where its view
+/// of the store stands, and news of others.
+struct peer_datagram
+{
+    datagram_kind kind = datagram_kind::news;
+    member from;
+    store_revision revision = 0;
+
+    /// How long ago the store confirmed the sender's view; nothing when never.
+    std::optional<milliseconds> age;
+
+    std::vector<member> news;
+
+    /// Changes up to `revision`, when they are few.
+    std::optional<view_update> update;
+};
+
+/// Largest datagram; more would be split on the way.
+inline constexpr std::size_t datagram_limit = 1'400;
+
+[[nodiscard]] std::string encode_datagram(const peer_datagram& datagram);
+
+/// Nothing when the bytes are not a datagram of ours.
+[[nodiscard]] std::optional<peer_datagram>
+decode_datagram(std::string_view bytes);
+
+/// Changes of a view as the body of a message between hosts.
+[[nodiscard]] std::string encode_update(const view_update& update);
+
+[[nodiscard]] std::optional<view_update> decode_update(std::string_view bytes);
+
+} // namespace basilpath
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -4,17 +4,22 @@
 #include "node/connection/http_server.hpp"
 #include "node/process/directory_question.hpp"
 #include "node/process/node_settings.hpp"
+#include "node/process/peer_exchange.hpp"
 #include "node/process/query_service.hpp"
 #include "node/process/repeat_budget.hpp"
+#include "node/process/roster.hpp"
+#include "node/process/steering.hpp"
 #include "node/process/target_pool.hpp"
 #include "node/process/view_reader.hpp"
+#include "node/process/view_state.hpp"
 #include "node/version/decoded_item.hpp"
-#include "node/version/item_view.hpp"
 #include "process/runtime.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <memory>
 
 namespace basilpath
@@ -47,7 +52,10 @@
     boost::asio::awaitable<void> drain();
     void take_item(const item_change& change);
     void take_routes(const std::shared_ptr<const route_table>& table);
-    void take_host_count(std::size_t hosts);
+    boost::asio::awaitable<void> follow_members();
+    void share_bounds();
+    [[nodiscard]] static member describe(const node_settings& settings,
+                                         std::uint64_t start);
     [[nodiscard]] bool ready() const;
 
     boost::asio::io_context& context;
@@ -57,13 +65,16 @@
     repeat_budget repeats;
     shared_services shared;
     query_service<real_runtime, pool> queries;
-    item_view view;
+    view_state view;
+    roster members;
+    peer_exchange peers;
     typename Adapter::source store;
     view_reader<real_runtime, typename Adapter::source> reader;
     node_http_server callers;
     node_http_server readiness;
     node_http_server directory;
     std::shared_ptr<const route_table> routes;
+    std::chrono::steady_clock::time_point started;
     bool leaving = false;
 };
 
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -43,6 +43,14 @@
 /// lost is left alone soon.
 inline constexpr milliseconds directory_keep{2'000};
 
+/// How often shared bounds are divided anew.
+inline constexpr milliseconds share_interval{500};
+
+/// A host that has just started may not know all others yet, and takes them to
+/// be this many for a while.
+inline constexpr milliseconds discovery_time{3'000};
+inline constexpr std::size_t unknown_hosts = 8;
+
 } // namespace node_bounds
 
 template <class Adapter>
@@ -54,8 +62,14 @@
                this->settings.repeat_window}),
       shared{this->run, this->targets, this->repeats}, queries(this->shared),
       view([this](const item_change& change) { this->take_item(change); }),
+      members(describe(this->settings, this->run.random()),
+              to_instant(std::chrono::steady_clock::now())),
+      peers(context, this->run, this->members, this->view,
+            this->settings.seeds),
       store(context.get_executor(), this->settings.store),
-      reader(this->run, this->store, this->view),
+      reader(this->run, this->store, this->view, this->members,
+             std::ranges::find(this->settings.seeds, this->settings.peers) !=
+                 this->settings.seeds.end()),
       callers(context, this->settings.callers.value,
               [this](std::shared_ptr<http_request> request,
                      std::shared_ptr<caller_presence> presence)
@@ -72,7 +86,8 @@
                        const std::shared_ptr<caller_presence>&)
                 { return this->answer_directory(std::move(request)); })
 {
-    this->take_host_count(1);
+    this->started = std::chrono::steady_clock::now();
+    this->share_bounds();
 }
 
 template <class Adapter>
@@ -86,8 +101,11 @@
     this->readiness.start();
     this->directory.start();
     this->targets.start();
+    this->peers.start();
     boost::asio::co_spawn(this->context, this->reader.run(),
                           boost::asio::detached);
+    boost::asio::co_spawn(this->context, this->follow_members(),
+                          boost::asio::detached);
     boost::asio::co_spawn(this->context, this->await_end(),
                           boost::asio::detached);
 }
@@ -113,13 +131,10 @@
     {
         co_return http_response(boost::beast::http::status::not_found, 11);
     }
-    std::vector<http_address> hosts;
-    if (this->ready())
-    {
-        hosts.push_back(this->settings.callers);
-    }
+    const steering_state known{this->members.live(),
+                               this->targets.shard_domains()};
     co_return Adapter::directory(
-        hosts, std::min(node_bounds::directory_keep,
+        steer(known, *question), std::min(node_bounds::directory_keep,
                         this->settings.directory_keep));
 }
 
@@ -147,6 +162,8 @@
     log_event(log_level::info, "leaving",
               {{"host", this->settings.name.value}});
     this->leaving = true;
+    this->members.set_leaving();
+    this->peers.push();
     this->callers.start_draining();
     const auto started = std::chrono::steady_clock::now();
     const auto end =
@@ -220,18 +237,58 @@
     this->targets.set_routes(table);
     this->queries.set_routes(table);
     this->callers.set_limits(table->limits());
+    const bool was_ready = this->members.own().ready;
+    this->members.set_ready(true);
+    if (!was_ready)
+    {
+        this->peers.push();
+    }
     log_event(log_level::info, "configuration",
               {{"version", table->version().value},
                {"routes", table->route_count()}});
 }
 
+// Shares the bounds that all hosts keep together anew, now and then.
+template <class Adapter>
+boost::asio::awaitable<void> node<Adapter>::follow_members()
+{
+    boost::asio::steady_timer timer(this->context);
+    while (true)
+    {
+        timer.expires_after(node_bounds::share_interval);
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        this->share_bounds();
+    }
+}
+
 template <class Adapter>
-void node<Adapter>::take_host_count(std::size_t hosts)
+void node<Adapter>::share_bounds()
 {
+    const auto now = std::chrono::steady_clock::now();
+    std::size_t hosts = this->members.share_count(to_instant(now));
+    if (now - this->started < node_bounds::discovery_time)
+    {
+        hosts = std::max(hosts, node_bounds::unknown_hosts);
+    }
     this->targets.set_host_count(hosts);
     this->repeats.set_host_count(hosts);
 }
 
+template <class Adapter>
+member node<Adapter>::describe(const node_settings& settings,
+                               std::uint64_t start)
+{
+    member own;
+    own.address = settings.peers;
+    own.start = incarnation(start);
+    own.domain = settings.domain;
+    own.callers = settings.callers;
+    own.processor_share = settings.processor_share;
+    own.link_mbps = settings.link_mbps;
+    return own;
+}
+
 // A host without a configuration cannot serve; one that leaves should not.
 template <class Adapter>
 bool node<Adapter>::ready() const
--- /dev/null
+++ b/src/node/process/peer_exchange.cpp
@@ -0,0 +1,309 @@
+#include "node/process/peer_exchange.hpp"
+
+#include "node/connection/endpoint.hpp"
+#include "node/connection/http_client.hpp"
+#include "process/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <iterator>
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Time between two rounds of probes.
+constexpr auto probe_interval = 200ms;
+
+// Seeds that are not known to live are probed in each of the first rounds, and
+// then in one round of these many, so that cut-off parts find each other.
+constexpr std::uint64_t first_rounds = 25;
+constexpr std::uint64_t seed_rounds = 10;
+
+// Members that are told at once of a change; each of them tells as many.
+constexpr std::size_t push_fanout = 7;
+
+// News of others in one datagram.
+constexpr std::size_t news_limit = 6;
+
+// Changes up to this size travel in the datagram, others are fetched.
+constexpr std::size_t update_limit = 900;
+
+// Time that another host has for sending its view.
+constexpr milliseconds fetch_patience{1'000};
+
+constexpr std::string_view view_path = "/view?after=";
+
+instant now()
+{
+    return to_instant(std::chrono::steady_clock::now());
+}
+
+asio::ip::udp::endpoint udp_endpoint(const peer_address& address)
+{
+    const auto endpoint = to_endpoint(address.value);
+    if (!endpoint)
+    {
+        throw std::runtime_error("not an address: " + address.value);
+    }
+    return {endpoint->address(), endpoint->port()};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::io_context& context, real_runtime& run,
+                             roster& members, view_state& view,
+                             std::vector<peer_address> seeds)
+    : context(context), run(run), members(members), view(view),
+      seeds(std::move(seeds)),
+      socket(context, udp_endpoint(members.own().address)),
+      server(context, members.own().address.value,
+             [this](std::shared_ptr<http_request> request,
+                    const std::shared_ptr<caller_presence>&)
+             { return this->answer_view(std::move(request)); })
+{
+    this->socket.non_blocking(true);
+    std::erase(this->seeds, members.own().address);
+}
+
+void peer_exchange::start()
+{
+    this->server.start();
+    this->view.on_move([this](store_revision before)
+                       { this->tell_some(before); });
+    asio::co_spawn(this->context, this->receive(), asio::detached);
+    asio::co_spawn(this->context, this->probe(), asio::detached);
+}
+
+void peer_exchange::push()
+{
+    this->tell_some(this->view.view().revision());
+}
+
+asio::awaitable<void> peer_exchange::receive()
+{
+    while (true)
+    {
+        asio::ip::udp::endpoint from;
+        const auto space = asio::buffer(this->received);
+        const auto [error, count] = co_await this->socket.async_receive_from(
+            space, from, asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted)
+        {
+            co_return;
+        }
+        if (error)
+        {
+            // The port of an earlier datagram was closed; that peer will be
+            // missed by its probes.
+            continue;
+        }
+        const auto datagram =
+            decode_datagram(std::string_view(this->received.data(), count));
+        if (!datagram)
+        {
+            log_event(log_level::warning, "datagram_unreadable",
+                      {{"from", from.address().to_string()},
+                       {"bytes", count}});
+            continue;
+        }
+        this->take(*datagram);
+    }
+}
+
+asio::awaitable<void> peer_exchange::probe()
+{
+    asio::steady_timer timer(this->context);
+    while (true)
+    {
+        const store_revision known = this->view.view().revision();
+        for (const peer_address& to : this->members.probe(now()))
+        {
+            this->send(to, datagram_kind::probe, known);
+        }
+        if (this->rounds < first_rounds || this->rounds % seed_rounds == 0)
+        {
+            for (const peer_address& seed : this->strangers())
+            {
+                this->send(seed, datagram_kind::probe, known);
+            }
+        }
+        ++this->rounds;
+        this->log_changes();
+        timer.expires_after(probe_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+// Fetches what the view of another host has more.
+asio::awaitable<void> peer_exchange::fetch(peer_address from)
+{
+    this->fetching = true;
+    node_http_client client(this->context.get_executor(),
+                            http_address(from.value));
+    std::string target =
+        fmt::format("{}{}", view_path, this->view.view().revision());
+    const auto response =
+        co_await client.get(std::move(target), fetch_patience);
+    client.close();
+    this->fetching = false;
+    const auto update =
+        response ? decode_update(response->body()) : std::nullopt;
+    if (!update)
+    {
+        log_event(log_level::info, "view_fetch_failed",
+                  {{"from", from.value}, {"reason", client.last_error()}});
+        co_return;
+    }
+    // How old the other view is comes with its next datagram.
+    this->view.apply(*update, std::nullopt);
+}
+
+asio::awaitable<http_response>
+peer_exchange::answer_view(std::shared_ptr<http_request> request)
+{
+    const std::string_view target(request->target().data(),
+                                  request->target().size());
+    store_revision after = 0;
+    if (target.starts_with(view_path))
+    {
+        const std::string_view figure = target.substr(view_path.size());
+        std::from_chars(figure.data(), figure.data() + figure.size(), after);
+    }
+    http_response response(boost::beast::http::status::ok, 11);
+    response.body() = encode_update(this->view.view().since(after));
+    co_return response;
+}
+
+void peer_exchange::take(const peer_datagram& datagram)
+{
+    const instant time = now();
+    this->members.merge(datagram.from, time);
+    this->members.note_alive(datagram.from.address, time);
+    for (const member& one : datagram.news)
+    {
+        this->members.merge(one, time);
+    }
+    this->log_changes();
+    this->take_view(datagram, time);
+    if (datagram.kind == datagram_kind::probe)
+    {
+        this->send(datagram.from.address, datagram_kind::answer,
+                   datagram.revision);
+    }
+}
+
+void peer_exchange::take_view(const peer_datagram& datagram, instant time)
+{
+    const milliseconds age = datagram.age.value_or(milliseconds::max());
+    const bool dated = datagram.age.has_value();
+    if (datagram.update && dated)
+    {
+        this->view.apply(*datagram.update, time - age);
+    }
+    const store_revision held = this->view.view().revision();
+    if (datagram.revision == held && dated && held > 0)
+    {
+        this->view.confirm(time - age);
+    }
+    else if (datagram.revision > held && !this->fetching)
+    {
+        asio::co_spawn(this->context, this->fetch(datagram.from.address),
+                       asio::detached);
+    }
+}
+
+// Sends one datagram, with the changes that the other host lacks when they are
+// few. A datagram that cannot be sent now is lost; the next comes soon.
+void peer_exchange::send(const peer_address& to, datagram_kind kind,
+                         store_revision known)
+{
+    peer_datagram datagram;
+    datagram.kind = kind;
+    datagram.from = this->members.own();
+    datagram.revision = this->view.view().revision();
+    datagram.age = this->view.age(now());
+    datagram.news = this->members.news(news_limit);
+    if (known > 0 && known < datagram.revision)
+    {
+        view_update update = this->view.view().since(known);
+        if (update.after > 0 && encode_update(update).size() < update_limit)
+        {
+            datagram.update = std::move(update);
+        }
+    }
+    std::string bytes = encode_datagram(datagram);
+    if (bytes.size() > datagram_limit)
+    {
+        datagram.news.clear();
+        bytes = encode_datagram(datagram);
+    }
+    boost::system::error_code lost;
+    const auto endpoint = to_endpoint(to.value);
+    if (!endpoint)
+    {
+        return;
+    }
+    this->socket.send_to(
+        asio::buffer(bytes),
+        asio::ip::udp::endpoint(endpoint->address(), endpoint->port()), 0,
+        lost);
+    ++this->sent_count;
+}
+
+void peer_exchange::tell_some(store_revision known)
+{
+    std::vector<peer_address> chosen = this->members.peers();
+    std::mt19937_64 random(this->run.random());
+    std::ranges::shuffle(chosen, random);
+    chosen.resize(std::min(chosen.size(), push_fanout));
+    for (const peer_address& to : chosen)
+    {
+        this->send(to, datagram_kind::news, known);
+    }
+}
+
+void peer_exchange::log_changes()
+{
+    for (const member& one : this->members.take_changes())
+    {
+        constexpr std::array<std::string_view, 3> names = {"alive", "leaving",
+                                                           "dead"};
+        log_event(log_level::info, "member",
+                  {{"host", one.address.value},
+                   {"state", names.at(static_cast<std::size_t>(one.state))},
+                   {"counter", one.counter}});
+    }
+}
+
+// Seeds that are not known to live.
+std::vector<peer_address> peer_exchange::strangers() const
+{
+    const std::vector<peer_address> known = this->members.peers();
+    std::vector<peer_address> result;
+    std::ranges::copy_if(this->seeds, std::back_inserter(result),
+                         [&known](const peer_address& seed) {
+                             return std::ranges::find(known, seed) ==
+                                    known.end();
+                         });
+    return result;
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/peer_exchange.hpp
@@ -0,0 +1,68 @@
+/// What hosts tell each other: who lives, and what the store holds.
+#pragma once
+
+#include "node/connection/http_server.hpp"
+#include "node/connection/peer_datagram.hpp"
+#include "node/process/roster.hpp"
+#include "node/process/view_state.hpp"
+#include "process/runtime.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace basilpath
+{
+
+/// Probes members by datagrams that carry news, and fetches what the view of
+/// another host has more than this one's. Used on one thread.
+class peer_exchange
+{
+public:
+    peer_exchange(boost::asio::io_context& context, real_runtime& run,
+                  roster& members, view_state& view,
+                  std::vector<peer_address> seeds);
+
+    /// Starts to listen and to probe.
+    void start();
+
+    /// Tells some members at once what has changed of this host.
+    void push();
+
+    /// Datagrams sent so far.
+    [[nodiscard]] std::uint64_t sent() const
+    {
+        return this->sent_count;
+    }
+
+private:
+    boost::asio::awaitable<void> receive();
+    boost::asio::awaitable<void> probe();
+    boost::asio::awaitable<void> fetch(peer_address from);
+    boost::asio::awaitable<http_response>
+    answer_view(std::shared_ptr<http_request> request);
+    void take(const peer_datagram& datagram);
+    void take_view(const peer_datagram& datagram, instant now);
+    void send(const peer_address& to, datagram_kind kind, store_revision known);
+    void tell_some(store_revision known);
+    void log_changes();
+    [[nodiscard]] std::vector<peer_address> strangers() const;
+
+    boost::asio::io_context& context;
+    real_runtime& run;
+    roster& members;
+    view_state& view;
+    std::vector<peer_address> seeds;
+    boost::asio::ip::udp::socket socket;
+    node_http_server server;
+    std::array<char, 65'536> received{};
+    std::uint64_t sent_count = 0;
+    std::uint64_t rounds = 0;
+    bool fetching = false;
+};
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/steering.hpp
@@ -0,0 +1,36 @@
+/// Which hosts a caller is sent to.
+#pragma once
+
+#include "node/process/directory_question.hpp"
+#include "node/process/member.hpp"
+
+#include <cstddef>
+#include <set>
+#include <vector>
+
+namespace basilpath
+{
+
+/// Most addresses that a caller takes.
+inline constexpr std::size_t directory_limit = 64;
+
+/// What the directory knows when it is asked.
+struct steering_state
+{
+    /// Live members.
+    std::vector<member> hosts;
+
+    /// Failure domains in which replicas of shards stand.
+    std::set<failure_domain> replica_domains;
+};
+
+/// The addresses for one caller: hosts that are ready and do not leave. Hosts
+/// beside the replicas are preferred, because an answer is small and the parts
+/// that make it are many; of these the ones in the caller's domain; hosts that
+/// are much weaker than the strongest stand by. Never fewer than
+/// `least_hosts` while there are more, so that a caller outlives the loss of
+/// one. Answers the load in which weak hosts or long ways make answers late.
+[[nodiscard]] std::vector<http_address>
+steer(const steering_state& state, const directory_question& question);
+
+} // namespace basilpath
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,9 @@
     /// What calls of a route have lately taken.
     [[nodiscard]] route_latency latency(const std::string& route) const;
 
+    /// The failure domains in which replicas of shards stand.
+    [[nodiscard]] std::set<failure_domain> shard_domains() const;
+
     [[nodiscard]] const failure_domain& domain() const
     {
         return this->own_domain;
@@ -128,6 +132,7 @@
     std::map<service_name, std::vector<entry_pointer>> by_service;
     std::map<std::string, route_statistics> routes;
     std::shared_ptr<const route_table> table;
+    std::set<service_name> shard_services;
     std::size_t host_count = 1;
 };
 
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -120,6 +120,26 @@
 void target_pool<Codec>::set_routes(std::shared_ptr<const route_table> routes)
 {
     this->table = std::move(routes);
+    this->shard_services = this->table->shard_services();
+}
+
+template <target_codec Codec>
+std::set<failure_domain> target_pool<Codec>::shard_domains() const
+{
+    std::set<failure_domain> domains;
+    for (const service_name& service : this->shard_services)
+    {
+        const auto found = this->by_service.find(service);
+        if (found == this->by_service.end())
+        {
+            continue;
+        }
+        for (const entry_pointer& one : found->second)
+        {
+            domains.insert(one->target.domain);
+        }
+    }
+    return domains;
 }
 
 template <target_codec Codec>
--- a/src/node/process/view_reader.hpp
+++ b/src/node/process/view_reader.hpp
@@ -2,7 +2,8 @@
 #pragma once
 
 #include "node/process/item_source.hpp"
-#include "node/version/item_view.hpp"
+#include "node/process/roster.hpp"
+#include "node/process/view_state.hpp"
 #include "process/backoff.hpp"
 #include "process/runtime.hpp"
 
@@ -11,17 +12,21 @@
 namespace basilpath
 {
 
-/// Reads everything once, then watches.
+/// Reads and watches while it is this host's turn: two hosts read at a time,
+/// the others take over when what the readers tell grows old. Answers the load
+/// in which the store counts each call, and a reader is lost or cut off.
 template <runtime Runtime, item_source Source>
 class view_reader
 {
 public:
-    view_reader(Runtime& run, Source& source, item_view& view);
+    view_reader(Runtime& run, Source& source, view_state& view,
+                const roster& members, bool seed);
 
     /// Runs for the life of the process.
     boost::asio::awaitable<void> run();
 
 private:
+    [[nodiscard]] bool is_due(instant now) const;
     boost::asio::awaitable<bool> read_all();
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<void> pause(milliseconds wait);
@@ -29,8 +34,13 @@
 
     Runtime& host;
     Source& source;
-    item_view& view;
+    view_state& view;
+    const roster& members;
     backoff retry;
+
+    /// Until then other hosts may still bring the view of a starting host.
+    instant first_read_at;
+    bool whole_read_due = true;
     bool reachable = false;
 };
 
--- a/src/node/process/view_reader.ipp
+++ b/src/node/process/view_reader.ipp
@@ -5,6 +5,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace basilpath
 {
 
@@ -16,9 +19,26 @@
 inline constexpr milliseconds least_wait{100};
 inline constexpr milliseconds most_wait{800};
 
-/// How long one watch waits; also the time after which silence of the store is
-/// noticed.
-inline constexpr milliseconds watch_wait{1'500};
+/// How long one watch waits. A reader that is cut off is noticed by then, and
+/// two readers make one call a second between them.
+inline constexpr milliseconds watch_wait{2'000};
+
+/// Hosts that read all the time.
+inline constexpr std::size_t reader_count = 2;
+
+/// A host that is no reader reads when its view is older than this, and later
+/// the further back it stands in the order of hosts.
+inline constexpr milliseconds takeover_age{2'400};
+inline constexpr milliseconds takeover_step{250};
+inline constexpr std::size_t takeover_steps = 12;
+
+/// How often a host looks whether it should read.
+inline constexpr milliseconds duty_interval{100};
+
+/// A starting host waits this long, drawn from the range, for other hosts to
+/// bring the view; one that others ask first reads at once.
+inline constexpr milliseconds least_first_wait{400};
+inline constexpr milliseconds most_first_wait{800};
 
 /// Least time between two watches, so that many small changes come together.
 inline constexpr milliseconds gather_wait{300};
@@ -27,10 +47,21 @@
 
 template <runtime Runtime, item_source Source>
 view_reader<Runtime, Source>::view_reader(Runtime& run, Source& source,
-                                          item_view& view)
-    : host(run), source(source), view(view),
-      retry(view_reader_bounds::least_wait, view_reader_bounds::most_wait)
+                                          view_state& view,
+                                          const roster& members, bool seed)
+    : host(run), source(source), view(view), members(members),
+      retry(view_reader_bounds::least_wait, view_reader_bounds::most_wait),
+      first_read_at(to_instant(Runtime::clock::now()))
 {
+    if (!seed)
+    {
+        const auto range = view_reader_bounds::most_first_wait -
+                           view_reader_bounds::least_first_wait;
+        this->first_read_at +=
+            view_reader_bounds::least_first_wait +
+            milliseconds(static_cast<std::int64_t>(
+                run.random() % static_cast<std::uint64_t>(range.count())));
+    }
 }
 
 template <runtime Runtime, item_source Source>
@@ -38,16 +69,48 @@
 {
     while (true)
     {
-        bool good = co_await this->read_all();
-        while (good)
+        if (!this->is_due(to_instant(Runtime::clock::now())))
+        {
+            co_await this->pause(view_reader_bounds::duty_interval);
+            continue;
+        }
+        bool good = false;
+        if (this->whole_read_due || this->view.view().revision() == 0)
+        {
+            good = co_await this->read_all();
+        }
+        else
         {
             good = co_await this->watch();
         }
-        const milliseconds wait = this->retry.next(this->host.random());
-        co_await this->pause(wait);
+        if (!good)
+        {
+            const milliseconds wait = this->retry.next(this->host.random());
+            co_await this->pause(wait);
+        }
     }
 }
 
+// Tells whether this host should call the store now.
+template <runtime Runtime, item_source Source>
+bool view_reader<Runtime, Source>::is_due(instant now) const
+{
+    const auto age = this->view.age(now);
+    const std::size_t rank = this->members.rank();
+    if (!age || this->view.view().revision() == 0)
+    {
+        return now >= this->first_read_at;
+    }
+    if (rank < view_reader_bounds::reader_count)
+    {
+        return true;
+    }
+    const auto steps = static_cast<std::int64_t>(
+        std::min(rank, view_reader_bounds::takeover_steps));
+    return *age > view_reader_bounds::takeover_age +
+                      steps * view_reader_bounds::takeover_step;
+}
+
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> view_reader<Runtime, Source>::read_all()
 {
@@ -57,22 +120,27 @@
     {
         co_return false;
     }
-    this->view.apply(result.update);
+    this->whole_read_due = false;
+    this->view.apply(result.update, to_instant(Runtime::clock::now()));
     co_return true;
 }
 
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> view_reader<Runtime, Source>::watch()
 {
-    const store_revision after = this->view.revision();
+    const store_revision after = this->view.view().revision();
     const read_result result =
         co_await this->source.watch(after, view_reader_bounds::watch_wait);
     this->note_end(result);
+    if (result.end == read_end::compacted)
+    {
+        this->whole_read_due = true;
+    }
     if (result.end != read_end::done)
     {
         co_return false;
     }
-    this->view.apply(result.update);
+    this->view.apply(result.update, to_instant(Runtime::clock::now()));
     if (!result.update.changes.empty())
     {
         co_await this->pause(view_reader_bounds::gather_wait);
@@ -104,7 +172,7 @@
         log_event(reached ? log_level::info : log_level::warning,
                   reached ? "store_reached" : "store_lost",
                   {{"reason", result.reason},
-                   {"revision", this->view.revision()}});
+                   {"revision", this->view.view().revision()}});
     }
     this->reachable = reached;
 }
--- a/src/node/version/route_table.cpp
+++ b/src/node/version/route_table.cpp
@@ -40,6 +40,16 @@
     return found == of_host->second.end() ? nullptr : *found;
 }
 
+std::set<service_name> route_table::shard_services() const
+{
+    std::set<service_name> names;
+    for (const route& one : this->routes)
+    {
+        names.insert(one.gather.shards.begin(), one.gather.shards.end());
+    }
+    return names;
+}
+
 const service_rule* route_table::service(const service_name& name) const
 {
     const auto found = this->services.find(name);
--- a/src/node/version/route_table.hpp
+++ b/src/node/version/route_table.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,9 @@
     /// What is said of a service, or null.
     [[nodiscard]] const service_rule* service(const service_name& name) const;
 
+    /// All services that hold a shard of some route.
+    [[nodiscard]] std::set<service_name> shard_services() const;
+
     [[nodiscard]] document_number version() const
     {
         return this->number;
--- a/src/version/ownership.cpp
+++ b/src/version/ownership.cpp
@@ -4,8 +4,6 @@
 #include "version/service.hpp"
 #include "version/shard.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -42,12 +40,6 @@
 
 } // namespace
 
-std::uint64_t rendezvous_hash(std::string_view key, std::string_view node)
-{
-    const auto seed = XXH3_64bits(key.data(), key.size());
-    return XXH3_64bits_withSeed(node.data(), node.size(), seed);
-}
-
 std::vector<const host*> hosts_of_service(const service& wanted,
                                           const host_list& hosts,
                                           const std::set<host_id>& dead)
--- a/src/version/ownership.hpp
+++ b/src/version/ownership.hpp
@@ -4,10 +4,9 @@
 
 #include "version/host.hpp"
 #include "version/ids.hpp"
+#include "version/rendezvous.hpp"
 
-#include <cstdint>
 #include <set>
-#include <string_view>
 #include <vector>
 
 namespace basilpath
@@ -37,8 +36,4 @@
 [[nodiscard]] owner_ranking rank_owners(const shard& wanted,
                                         const std::vector<const host*>& hosts);
 
-/// Hash of two texts, the same on every host and in every release.
-[[nodiscard]] std::uint64_t rendezvous_hash(std::string_view key,
-                                            std::string_view node);
-
 } // namespace basilpath
