Answer in time for the caller, by the round trip to it

Change: the objective is counted from the start of the attempt, by the kernel's round trip of the connection; a call that waits for a connection is taken back before another replica is asked, so that it is never sent after its repeat was not charged.

--- a/src/node/connection/caller_presence.hpp
+++ b/src/node/connection/caller_presence.hpp
@@ -1,6 +1,7 @@
 /// Whether the caller of a request still waits for its answer.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <utility>
 
@@ -12,6 +13,26 @@
 class caller_presence
 {
 public:
+    /// `travelled` is how long ago the caller began the attempt, as far as the
+    /// network tells: half a round trip, and one more when it connected anew.
+    caller_presence(std::chrono::microseconds travelled,
+                    std::chrono::microseconds return_trip)
+        : before(travelled), after(return_trip)
+    {
+    }
+
+    /// Time that the attempt took until its request arrived.
+    [[nodiscard]] std::chrono::microseconds travelled() const
+    {
+        return this->before;
+    }
+
+    /// Time that the answer will take.
+    [[nodiscard]] std::chrono::microseconds return_trip() const
+    {
+        return this->after;
+    }
+
     [[nodiscard]] bool gone() const
     {
         return this->left;
@@ -34,6 +55,8 @@
     }
 
 private:
+    std::chrono::microseconds before;
+    std::chrono::microseconds after;
     bool left = false;
     std::function<void()> action;
 };
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -11,6 +11,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <chrono>
 #include <exception>
 #include <string>
@@ -37,6 +40,16 @@
     return to_instant(std::chrono::steady_clock::now());
 }
 
+// The kernel's estimate of the round trip to the caller; zero when it has none.
+microseconds round_trip(asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const int failed = ::getsockopt(socket.native_handle(), IPPROTO_TCP,
+                                    TCP_INFO, &info, &size);
+    return microseconds(failed != 0 ? 0 : info.tcpi_rtt);
+}
+
 // The status that tells a caller what is wrong with its request.
 http::status status_of(const boost::system::error_code& why)
 {
@@ -226,7 +239,10 @@
 
 void http_session::start_handler(std::shared_ptr<http_request> request)
 {
-    this->presence = std::make_shared<caller_presence>();
+    const microseconds trip = round_trip(this->socket);
+    const bool connected_anew = !std::exchange(this->used, true);
+    this->presence = std::make_shared<caller_presence>(
+        trip / 2 + (connected_anew ? trip : microseconds(0)), trip / 2);
     const auto self = this->shared_from_this();
     asio::co_spawn(
         this->socket.get_executor(),
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -79,6 +79,9 @@
 
     bool answering = false;
 
+    /// A request has come on this connection.
+    bool used = false;
+
     /// A part of a request has been read.
     bool reading = false;
     instant waiting_since{};
--- a/src/node/process/gather_policy.cpp
+++ b/src/node/process/gather_policy.cpp
@@ -17,9 +17,9 @@
 constexpr double least_hedge_share = 0.12;
 constexpr double most_hedge_share = 0.35;
 
-// Time for the answer to reach the caller: one way to clients is 1 to 3 ms,
-// and the host may be busy with another query for some milliseconds.
-constexpr microseconds answer_travel = 8ms;
+// Time for merging and sending the answer, and for the other work that a host
+// may have in hand at that moment.
+constexpr microseconds answer_work = 4ms;
 
 // Time kept before the end so that a refusal still reaches the caller.
 constexpr microseconds deadline_margin = 20ms;
@@ -40,8 +40,9 @@
                    share_of(rule.objective, most_hedge_share));
     const milliseconds patience = std::min(times.patience, rule.timeout);
     plan.deadline = times.arrived + patience - deadline_margin;
-    const microseconds left = rule.objective - times.spent;
-    plan.cutoff = times.arrived + std::max(left - answer_travel, 0us);
+    const microseconds left =
+        rule.objective - times.spent - times.return_trip - answer_work;
+    plan.cutoff = times.arrived + std::max(left, 0us);
     return plan;
 }
 
--- a/src/node/process/gather_policy.hpp
+++ b/src/node/process/gather_policy.hpp
@@ -28,8 +28,11 @@
 {
     instant arrived{};
 
-    /// How long the caller has already waited in earlier attempts.
-    milliseconds spent{0};
+    /// How long the caller had waited when the request arrived.
+    microseconds spent{0};
+
+    /// How long the answer will travel to the caller.
+    microseconds return_trip{0};
 
     /// How much longer it waits.
     milliseconds patience{0};
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -57,8 +57,9 @@
     std::shared_ptr<caller_presence> presence)
 {
     const milliseconds patience = query->patience.value_or(rule.timeout);
-    const gather_times times{query->arrived, this->spent(rule, patience),
-                             patience,
+    const gather_times times{query->arrived,
+                             this->spent(rule, patience) + presence->travelled(),
+                             presence->return_trip(), patience,
                              this->shared.targets.latency(rule.name).slow};
     const auto session = std::make_shared<gather_session<Runtime, Transport>>(
         this->shared, std::move(table), rule, query, times);
--- a/src/node/request/forward_session.hpp
+++ b/src/node/request/forward_session.hpp
@@ -65,6 +65,7 @@
 
     bool ask();
     [[nodiscard]] bool is_repeat() const;
+    void take_back_unsent();
     [[nodiscard]] std::optional<forward_result> take(call_event event);
     [[nodiscard]] forward_result conclude(forward_end end);
     [[nodiscard]] instant now() const;
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -91,6 +91,10 @@
     const auto choice = choose_replica(
         candidates, {time, usual, &this->shared.targets.domain(), this->asked,
                      this->shared.run.random()});
+    if (choice)
+    {
+        this->take_back_unsent();
+    }
     if (!choice ||
         (this->is_repeat() && !this->shared.repeats.try_spend(this->service, time)))
     {
@@ -118,12 +122,28 @@
     return true;
 }
 
+// A further send is a repeat unless no earlier call has left or still may.
 template <runtime Runtime, target_transport Transport>
 bool forward_session<Runtime, Transport>::is_repeat() const
 {
-    return this->arrived ||
-           std::ranges::any_of(this->calls, [](const auto& call)
-                               { return call->on_wire; });
+    return this->arrived || !this->calls.empty();
+}
+
+// Takes back the calls that still wait for a connection, so that they never
+// arrive and another replica may be asked in their place.
+template <runtime Runtime, target_transport Transport>
+void forward_session<Runtime, Transport>::take_back_unsent()
+{
+    const auto unsent = [](const auto& call) { return !call->on_wire; };
+    for (const auto& call : this->calls)
+    {
+        if (unsent(call))
+        {
+            this->shared.targets.give_up(call, milliseconds(0));
+            --this->sends;
+        }
+    }
+    std::erase_if(this->calls, unsent);
 }
 
 // Takes the result of a call; returns the end of the request, if it is that.
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -96,6 +96,7 @@
 
     void ask(std::size_t shard);
     [[nodiscard]] bool is_repeat(const shard_state& state) const;
+    void take_back_unsent(shard_state& state);
     void start_call(std::size_t shard, const leaf_id& to);
     void take(shard_event event);
     void retry_or_fail(std::size_t shard);
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -102,12 +102,16 @@
     shard_state& state = this->shards[shard];
     const service_name& service = this->rule.gather.shards[shard];
     const instant time = this->now();
-    const bool repeat = this->is_repeat(state);
     const std::vector<candidate> candidates =
         this->shared.targets.candidates(service);
     const auto choice = choose_replica(
         candidates, {time, this->usual, &this->shared.targets.domain(),
                      state.asked, this->shared.run.random()});
+    if (choice)
+    {
+        this->take_back_unsent(state);
+    }
+    const bool repeat = this->is_repeat(state);
     const bool allowed = choice && (!repeat || this->shared.repeats.try_spend(
                                                    service, time));
     if (!allowed)
@@ -125,13 +129,29 @@
     this->start_call(shard, chosen);
 }
 
+// A further send is a repeat unless no earlier call has left or still may.
 template <runtime Runtime, target_transport Transport>
 bool gather_session<Runtime, Transport>::is_repeat(
     const shard_state& state) const
 {
-    return state.arrived ||
-           std::ranges::any_of(state.calls, [](const auto& call)
-                               { return call->on_wire; });
+    return state.arrived || !state.calls.empty();
+}
+
+// Takes back the calls of a shard that still wait for a connection, so that
+// they never arrive and another replica may be asked in their place.
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::take_back_unsent(shard_state& state)
+{
+    const auto unsent = [](const auto& call) { return !call->on_wire; };
+    for (const auto& call : state.calls)
+    {
+        if (unsent(call))
+        {
+            this->shared.targets.give_up(call, milliseconds(0));
+            --state.sends;
+        }
+    }
+    std::erase_if(state.calls, unsent);
 }
 
 template <runtime Runtime, target_transport Transport>
