--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -11,10 +11,9 @@
 namespace gather_bounds
 {
 
-/// A call that is not waited for any more may run on for this long, which is
-/// cheaper for the replica than a new connection, and no longer, so that it
-/// does not hold a slot for nobody.
-inline constexpr milliseconds withdrawal_grace{300};
+/// A call that is not waited for any more is cut at once: under load the slot
+/// that its work would take is worth more than the connection.
+inline constexpr milliseconds withdrawal_grace{0};
 
 } // namespace gather_bounds
 
