Let calls wait at the host, ordered by their objective

Change: a host keeps its share of a leaf's slots and one place of queue there; the rest waits in an order that serves what can be in time first.

--- /dev/null
+++ b/src/node/process/call_queue.cpp
@@ -0,0 +1,47 @@
+#include "node/process/call_queue.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace basilpath
+{
+
+void call_queue::push(std::shared_ptr<target_call> call)
+{
+    this->calls.push_back(std::move(call));
+}
+
+std::shared_ptr<target_call> call_queue::pop(instant now, microseconds usual)
+{
+    if (this->calls.empty())
+    {
+        return nullptr;
+    }
+    const auto order = [now, usual](const std::shared_ptr<target_call>& one)
+    {
+        const bool late = one->useful_until < now + usual;
+        return std::pair(late, late ? one->deadline : one->useful_until);
+    };
+    const auto next = std::ranges::min_element(this->calls, {}, order);
+    auto call = std::move(*next);
+    this->calls.erase(next);
+    return call;
+}
+
+std::vector<std::shared_ptr<target_call>> call_queue::take_ended(instant now)
+{
+    const auto ended = [now](const std::shared_ptr<target_call>& one)
+    { return one->given_up || now >= one->deadline; };
+    std::vector<std::shared_ptr<target_call>> taken;
+    std::ranges::copy_if(this->calls, std::back_inserter(taken), ended);
+    std::erase_if(this->calls, ended);
+    return taken;
+}
+
+std::vector<std::shared_ptr<target_call>> call_queue::take_all()
+{
+    return std::exchange(this->calls, {});
+}
+
+} // namespace basilpath
--- a/src/node/process/forward_policy.cpp
+++ b/src/node/process/forward_policy.cpp
@@ -33,6 +33,7 @@
     plan.hedge_after =
         std::clamp(times.slow, share_of(rule.objective, least_hedge_share),
                    share_of(rule.objective, most_hedge_share));
+    plan.objective = times.arrived + rule.objective;
     plan.deadline = times.arrived + std::min(times.patience, rule.timeout) -
                     deadline_margin;
     return plan;
--- a/src/node/process/forward_policy.hpp
+++ b/src/node/process/forward_policy.hpp
@@ -14,6 +14,9 @@
     /// first has been quiet for this long.
     microseconds hedge_after{0};
 
+    /// Until then the answer earns full credit.
+    instant objective{};
+
     /// The last moment for an answer.
     instant deadline{};
 };
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -54,6 +54,7 @@
     void take_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> follow_members();
     void share_bounds();
+    [[nodiscard]] std::size_t serving_count() const;
     [[nodiscard]] static member describe(const node_settings& settings,
                                          std::uint64_t start);
     [[nodiscard]] bool ready() const;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <csignal>
 #include <random>
+#include <set>
 #include <type_traits>
 #include <utility>
 
@@ -271,10 +272,27 @@
     {
         hosts = std::max(hosts, node_bounds::unknown_hosts);
     }
-    this->targets.set_host_count(hosts);
+    this->targets.set_host_count(hosts, this->serving_count());
     this->repeats.set_host_count(hosts);
 }
 
+// Hosts that callers of some domain are sent to.
+template <class Adapter>
+std::size_t node<Adapter>::serving_count() const
+{
+    const steering_state known{this->members.live(),
+                               this->targets.shard_domains()};
+    std::set<http_address> serving;
+    for (const auto& [domain, region] : this->settings.domains)
+    {
+        for (const http_address& one : steer(known, {region, domain}))
+        {
+            serving.insert(one);
+        }
+    }
+    return std::max<std::size_t>(serving.size(), 1);
+}
+
 template <class Adapter>
 member node<Adapter>::describe(const node_settings& settings,
                                std::uint64_t start)
--- a/src/node/process/target_health.hpp
+++ b/src/node/process/target_health.hpp
@@ -66,6 +66,15 @@
     /// Share of the recent requests that failed, 0 to 1.
     [[nodiscard]] double failure_rate(instant now) const;
 
+    /// Requests of other hosts that are at the replica, as far as it said.
+    [[nodiscard]] double others(instant now) const;
+
+    /// What a request lately took, from sending to answer.
+    [[nodiscard]] microseconds service_time() const
+    {
+        return microseconds(static_cast<std::int64_t>(this->service_us));
+    }
+
     [[nodiscard]] unsigned outstanding() const
     {
         return static_cast<unsigned>(this->sent_at.size());
@@ -81,7 +90,6 @@
     void take(const load_report& load, instant now);
     void forget_oldest();
     [[nodiscard]] double pace(instant now) const;
-    [[nodiscard]] double others(instant now) const;
 
     unsigned slot_count;
     instant warm_at;
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/connection/target_connection.hpp"
+#include "node/process/call_queue.hpp"
 #include "node/process/placement.hpp"
 #include "node/process/target_health.hpp"
 #include "node/request/target_call.hpp"
@@ -12,7 +13,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,8 +54,9 @@
     /// Takes the connection bounds of services.
     void set_routes(std::shared_ptr<const route_table> routes);
 
-    /// Takes the number of hosts that share each replica's connections.
-    void set_host_count(std::size_t hosts);
+    /// Takes the number of hosts that share each replica's connections, and
+    /// the number of those that callers are sent to, which share its slots.
+    void set_host_count(std::size_t hosts, std::size_t serving);
 
     /// The replicas of a service.
     [[nodiscard]] std::vector<candidate>
@@ -93,7 +94,7 @@
         replica target;
         target_health health;
         std::vector<std::shared_ptr<connection>> connections;
-        std::deque<std::shared_ptr<target_call>> waiting;
+        call_queue waiting;
         instant gone_at{};
         bool lapsed = false;
     };
@@ -109,14 +110,17 @@
     };
 
     void open(const entry_pointer& one);
-    void serve_next(const entry_pointer& one,
-                    const std::shared_ptr<connection>& idle);
+    void dispatch(const entry_pointer& one);
+    void end_calls(const entry_pointer& one,
+                   const std::vector<std::shared_ptr<target_call>>& calls);
+    [[nodiscard]] std::shared_ptr<connection>
+    idle_connection(const entry& one, bool fresh) const;
+    [[nodiscard]] bool has_room(const entry& one) const;
     void take_result(const entry_pointer& one,
                      const std::shared_ptr<target_call>& call,
                      target_result result);
     void take_closed(const entry_pointer& one,
                      const std::shared_ptr<connection>& ended, bool made);
-    void fail_waiting(const entry_pointer& one);
     void note_latency(const std::string& route, instant now,
                       microseconds latency);
     void sweep_entry(const entry_pointer& one, instant now);
@@ -134,6 +138,7 @@
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
     std::size_t host_count = 1;
+    std::size_t serving_count = 1;
 };
 
 } // namespace basilpath
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -35,6 +35,10 @@
 /// An idle connection is closed this much before the replica would.
 inline constexpr milliseconds idle_margin{1'000};
 
+/// Calls beyond its slots that hosts together keep at a replica, so that its
+/// slots are never empty; what waits longer waits here, where it is ordered.
+inline constexpr std::size_t queue_places = 1;
+
 /// How long a health check may take.
 inline constexpr milliseconds probe_limit{400};
 
@@ -106,7 +110,7 @@
     }
     std::erase(this->by_service[one->target.service], one);
     this->entries.erase(found);
-    this->fail_waiting(one);
+    this->end_calls(one, one->waiting.take_all());
     for (const auto& open : one->connections)
     {
         if (open->idle())
@@ -143,9 +147,11 @@
 }
 
 template <target_codec Codec>
-void target_pool<Codec>::set_host_count(std::size_t hosts)
+void target_pool<Codec>::set_host_count(std::size_t hosts,
+                                        std::size_t serving)
 {
     this->host_count = std::max<std::size_t>(hosts, 1);
+    this->serving_count = std::max<std::size_t>(serving, 1);
 }
 
 template <target_codec Codec>
@@ -176,35 +182,9 @@
         return;
     }
     const entry_pointer one = found->second;
-    const instant time = now();
-    const auto idle = std::ranges::find_if(
-        one->connections,
-        [&](const auto& open)
-        {
-            return open->idle() &&
-                   (!call->fresh ||
-                    time - open->since() < target_pool_bounds::fresh_limit);
-        });
-    one->health.on_sent(time);
-    if (idle != one->connections.end())
-    {
-        const auto chosen = *idle;
-        chosen->send(call, time);
-        return;
-    }
-    one->waiting.push_back(call);
-    if (one->connections.size() >= this->connection_bound(*one))
-    {
-        // A call that needs a fresh connection takes the place of an old one.
-        const auto old = std::ranges::find_if(
-            one->connections, [](const auto& open) { return open->idle(); });
-        if (old == one->connections.end())
-        {
-            return;
-        }
-        (*old)->close();
-    }
-    this->open(one);
+    one->health.on_sent(now());
+    one->waiting.push(call);
+    this->dispatch(one);
 }
 
 template <target_codec Codec>
@@ -236,16 +216,16 @@
     const auto address = to_endpoint(one->target.address.value);
     if (!address)
     {
-        this->fail_waiting(one);
+        this->end_calls(one, one->waiting.take_all());
         return;
     }
     const std::weak_ptr<entry> weak = one;
     typename connection::events told;
-    told.ready = [this, weak](const std::shared_ptr<connection>& idle)
+    told.ready = [this, weak](const std::shared_ptr<connection>&)
     {
         if (const auto owner = weak.lock())
         {
-            this->serve_next(owner, idle);
+            this->dispatch(owner);
         }
     };
     told.result =
@@ -275,26 +255,83 @@
     boost::asio::co_spawn(this->context, opened->run(), boost::asio::detached);
 }
 
-// Gives an idle connection the next call that still waits.
+// Sends calls that wait while the replica has room for more of this host's
+// calls, and opens connections for the rest.
 template <target_codec Codec>
-void target_pool<Codec>::serve_next(const entry_pointer& one,
-                                    const std::shared_ptr<connection>& idle)
+void target_pool<Codec>::dispatch(const entry_pointer& one)
 {
     const instant time = now();
-    while (!one->waiting.empty())
+    this->end_calls(one, one->waiting.take_ended(time));
+    while (!one->waiting.empty() && this->has_room(*one))
     {
-        const auto call = one->waiting.front();
-        one->waiting.pop_front();
-        if (call->given_up)
+        auto idle = this->idle_connection(*one, false);
+        if (!idle)
         {
-            one->health.on_withdrawn(time, false);
-            continue;
+            break;
+        }
+        const auto call =
+            one->waiting.pop(time, one->health.service_time());
+        if (call->fresh)
+        {
+            const auto stale = idle;
+            idle = this->idle_connection(*one, true);
+            if (!idle)
+            {
+                // Its place is taken by a connection that is made now.
+                one->waiting.push(call);
+                stale->close();
+                this->open(one);
+                return;
+            }
         }
         idle->send(call, time);
-        return;
+    }
+    const auto connecting = static_cast<std::size_t>(
+        std::ranges::count_if(one->connections, [](const auto& open)
+                              { return open->connecting(); }));
+    const bool any_idle = this->idle_connection(*one, false) != nullptr;
+    if (one->waiting.size() > connecting && !any_idle &&
+        one->connections.size() < this->connection_bound(*one) &&
+        this->has_room(*one))
+    {
+        this->open(one);
     }
 }
 
+template <target_codec Codec>
+auto target_pool<Codec>::idle_connection(const entry& one, bool fresh) const
+    -> std::shared_ptr<connection>
+{
+    const instant time = now();
+    const auto found = std::ranges::find_if(
+        one.connections,
+        [&](const auto& open)
+        {
+            return open->idle() &&
+                   (!fresh ||
+                    time - open->since() < target_pool_bounds::fresh_limit);
+        });
+    return found == one.connections.end() ? nullptr : *found;
+}
+
+// Tells whether one more call of this host may go to a replica now: within its
+// share of the slots and of a short queue, or into a slot that is free.
+template <target_codec Codec>
+bool target_pool<Codec>::has_room(const entry& one) const
+{
+    const auto own = static_cast<std::size_t>(
+        std::ranges::count_if(one.connections, [](const auto& open)
+                              { return open->carried() != nullptr; }));
+    const std::size_t places =
+        one.target.slots + target_pool_bounds::queue_places;
+    const std::size_t share =
+        (places + this->serving_count - 1) / this->serving_count;
+    const double all =
+        static_cast<double>(own) + one.health.others(now());
+    return own < std::max<std::size_t>(share, 1) ||
+           all + 1.0 <= static_cast<double>(one.target.slots);
+}
+
 template <target_codec Codec>
 void target_pool<Codec>::take_result(const entry_pointer& one,
                                      const std::shared_ptr<target_call>& call,
@@ -352,22 +389,20 @@
         }
         if (one->connections.empty())
         {
-            this->fail_waiting(one);
+            this->end_calls(one, one->waiting.take_all());
         }
         return;
     }
-    if (!one->waiting.empty())
-    {
-        this->open(one);
-    }
+    this->dispatch(one);
 }
 
-// Ends the calls that wait for a connection; none of them has left.
+// Ends calls that have not left.
 template <target_codec Codec>
-void target_pool<Codec>::fail_waiting(const entry_pointer& one)
+void target_pool<Codec>::end_calls(
+    const entry_pointer& one,
+    const std::vector<std::shared_ptr<target_call>>& calls)
 {
-    const auto waiting = std::exchange(one->waiting, {});
-    for (const auto& call : waiting)
+    for (const auto& call : calls)
     {
         one->health.on_withdrawn(now(), false);
         if (call->done)
@@ -420,18 +455,9 @@
             open->close();
         }
     }
-    while (!one->waiting.empty() &&
-           (one->waiting.front()->given_up ||
-            time >= one->waiting.front()->deadline))
+    if (!one->waiting.empty())
     {
-        const auto call = one->waiting.front();
-        one->waiting.pop_front();
-        one->health.on_withdrawn(time, false);
-        if (call->done)
-        {
-            const auto done = std::exchange(call->done, nullptr);
-            done({call_end::unsent, {}, microseconds(0)});
-        }
+        this->dispatch(one);
     }
     if (one->health.down() && time >= one->health.next_probe())
     {
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -162,6 +162,7 @@
     call->query = this->query;
     call->to = to;
     call->route = this->rule.name;
+    call->useful_until = this->plan.cutoff;
     call->deadline = this->plan.deadline;
     call->done = [weak = this->weak_from_this(), shard,
                   raw = std::weak_ptr<target_call>(call)](target_result result)
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -89,7 +89,10 @@
     /// Name of the route, for the statistics of the replica.
     std::string route;
 
-    /// Until when the answer is of use.
+    /// Until when the answer earns full credit; later it is worth little.
+    instant useful_until{};
+
+    /// Until when the answer is of any use.
     instant deadline{};
 
     /// Must not meet a connection that the replica may just be closing.
