Hosts that restart get their view sooner; a caller gone early is noticed

A caller that left before its session had begun was noticed late. Change: a restarting host waits 80 to 240 ms and probes each 40 ms until it has a view; on_gone runs its action at once when the caller has gone.

--- a/src/node/connection/caller_presence.hpp
+++ b/src/node/connection/caller_presence.hpp
@@ -38,9 +38,14 @@
         return this->left;
     }
 
-    /// Runs `action` when the caller goes.
+    /// Runs `action` when the caller goes, at once when it has gone already.
     void on_gone(std::function<void()> action)
     {
+        if (this->left)
+        {
+            action();
+            return;
+        }
         this->action = std::move(action);
     }
 
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -55,6 +55,7 @@
     boost::asio::awaitable<void> follow_members();
     void share_bounds();
     [[nodiscard]] std::size_t serving_count() const;
+    [[nodiscard]] static reader_role role_of(const node_settings& settings);
     [[nodiscard]] static member describe(const node_settings& settings,
                                          std::uint64_t start);
     [[nodiscard]] bool ready() const;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -69,8 +69,7 @@
             this->settings.seeds),
       store(context.get_executor(), this->settings.store),
       reader(this->run, this->store, this->view, this->members,
-             std::ranges::find(this->settings.seeds, this->settings.peers) !=
-                 this->settings.seeds.end()),
+             role_of(this->settings)),
       callers(context, this->settings.callers.value,
               [this](std::shared_ptr<http_request> request,
                      std::shared_ptr<caller_presence> presence)
@@ -293,6 +292,20 @@
     return std::max<std::size_t>(serving.size(), 1);
 }
 
+template <class Adapter>
+reader_role node<Adapter>::role_of(const node_settings& settings)
+{
+    const bool seed =
+        std::ranges::find(settings.seeds, settings.peers) !=
+        settings.seeds.end();
+    if (seed)
+    {
+        return reader_role::seed;
+    }
+    return settings.first_start ? reader_role::first_start
+                                : reader_role::restart;
+}
+
 template <class Adapter>
 member node<Adapter>::describe(const node_settings& settings,
                                std::uint64_t start)
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -36,6 +36,9 @@
     /// Hosts to ask for others; may be old or down.
     std::vector<peer_address> seeds;
 
+    /// The whole system starts for the first time, all hosts at once.
+    bool first_start = false;
+
     /// The platform's store.
     http_address store;
 
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -32,6 +32,9 @@
 // Time between two rounds of probes.
 constexpr auto probe_interval = 200ms;
 
+// The same while this host has no view yet and cannot serve.
+constexpr auto first_probe_interval = 40ms;
+
 // Seeds that are not known to live are probed in each of the first rounds, and
 // then in one round of these many, so that cut-off parts find each other.
 constexpr std::uint64_t first_rounds = 25;
@@ -147,7 +150,8 @@
         }
         ++this->rounds;
         this->log_changes();
-        timer.expires_after(probe_interval);
+        const bool starting = this->view.view().revision() == 0;
+        timer.expires_after(starting ? first_probe_interval : probe_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
--- a/src/node/process/view_reader.hpp
+++ b/src/node/process/view_reader.hpp
@@ -9,9 +9,19 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+
 namespace basilpath
 {
 
+/// How a host comes by its first view.
+enum class reader_role : std::uint8_t
+{
+    seed,        ///< others ask it first: it reads at once
+    first_start, ///< all hosts start: others bring the view before it is needed
+    restart      ///< others may bring it; callers wait
+};
+
 /// Reads and watches while it is this host's turn: two hosts read at a time,
 /// the others take over when what the readers tell grows old. Answers the load
 /// in which the store counts each call, and a reader is lost or cut off.
@@ -20,7 +30,7 @@
 {
 public:
     view_reader(Runtime& run, Source& source, view_state& view,
-                const roster& members, bool seed);
+                const roster& members, reader_role role);
 
     /// Runs for the life of the process.
     boost::asio::awaitable<void> run();
--- a/src/node/process/view_reader.ipp
+++ b/src/node/process/view_reader.ipp
@@ -36,9 +36,12 @@
 inline constexpr milliseconds duty_interval{100};
 
 /// A starting host waits this long, drawn from the range, for other hosts to
-/// bring the view; one that others ask first reads at once.
+/// bring the view; one that others ask first reads at once. When all hosts
+/// start for the first time nobody waits for answers yet.
 inline constexpr milliseconds least_first_wait{400};
 inline constexpr milliseconds most_first_wait{800};
+inline constexpr milliseconds least_restart_wait{80};
+inline constexpr milliseconds most_restart_wait{240};
 
 /// Least time between two watches, so that many small changes come together.
 inline constexpr milliseconds gather_wait{300};
@@ -48,20 +51,25 @@
 template <runtime Runtime, item_source Source>
 view_reader<Runtime, Source>::view_reader(Runtime& run, Source& source,
                                           view_state& view,
-                                          const roster& members, bool seed)
+                                          const roster& members,
+                                          reader_role role)
     : host(run), source(source), view(view), members(members),
       retry(view_reader_bounds::least_wait, view_reader_bounds::most_wait),
       first_read_at(to_instant(Runtime::clock::now()))
 {
-    if (!seed)
+    if (role == reader_role::seed)
     {
-        const auto range = view_reader_bounds::most_first_wait -
-                           view_reader_bounds::least_first_wait;
-        this->first_read_at +=
-            view_reader_bounds::least_first_wait +
-            milliseconds(static_cast<std::int64_t>(
-                run.random() % static_cast<std::uint64_t>(range.count())));
+        return;
     }
+    const bool first = role == reader_role::first_start;
+    const milliseconds least = first ? view_reader_bounds::least_first_wait
+                                     : view_reader_bounds::least_restart_wait;
+    const milliseconds most = first ? view_reader_bounds::most_first_wait
+                                    : view_reader_bounds::most_restart_wait;
+    this->first_read_at +=
+        least + milliseconds(static_cast<std::int64_t>(
+                    run.random() %
+                    static_cast<std::uint64_t>((most - least).count())));
 }
 
 template <runtime Runtime, item_source Source>
