--- a/src/node/connection/endpoint.cpp
+++ b/src/node/connection/endpoint.cpp
@@ -9,8 +9,7 @@
 namespace basilpath
 {
 
-std::optional<boost::asio::ip::tcp::endpoint>
-to_endpoint(std::string_view text)
+std::optional<boost::asio::ip::tcp::endpoint> to_endpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos)
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -204,9 +204,9 @@
         }
         const auto space = this->buffer.prepare(read_bytes);
         const auto [error, count] = co_await this->socket.async_read_some(
-            space, asio::bind_cancellation_slot(
-                       this->answered.slot(),
-                       asio::as_tuple(asio::use_awaitable)));
+            space,
+            asio::bind_cancellation_slot(this->answered.slot(),
+                                         asio::as_tuple(asio::use_awaitable)));
         this->buffer.commit(count);
         if (error && !this->answer)
         {
@@ -225,8 +225,7 @@
     co_return !error && keep;
 }
 
-asio::awaitable<void>
-http_session::reject(const boost::system::error_code& why)
+asio::awaitable<void> http_session::reject(const boost::system::error_code& why)
 {
     http_response response(status_of(why), 11);
     response.keep_alive(false);
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -58,8 +58,8 @@
     }
 
 private:
-    using parser = boost::beast::http::request_parser<
-        boost::beast::http::string_body>;
+    using parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<bool> read_request(parser& request);
     boost::asio::awaitable<void> await_answer();
--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -26,9 +26,8 @@
     member one;
     one.address = peer_address(from.at(0).get<std::string>());
     one.counter = from.at(1).get<std::uint64_t>();
-    one.state = static_cast<member_state>(
-        std::min(from.at(2).get<unsigned>(),
-                 static_cast<unsigned>(member_state::dead)));
+    one.state = static_cast<member_state>(std::min(
+        from.at(2).get<unsigned>(), static_cast<unsigned>(member_state::dead)));
     one.start = incarnation(from.at(3).get<std::uint64_t>());
     one.domain = failure_domain(from.at(4).get<std::string>());
     one.callers = http_address(from.at(5).get<std::string>());
@@ -128,8 +127,7 @@
             datagram.revision = message.at(2).get<store_revision>();
             if (!message.at(3).is_null())
             {
-                datagram.age =
-                    milliseconds(message.at(3).get<std::int64_t>());
+                datagram.age = milliseconds(message.at(3).get<std::int64_t>());
             }
             for (const json& one : message.at(4))
             {
--- a/src/node/connection/target_codec.hpp
+++ b/src/node/connection/target_codec.hpp
@@ -13,18 +13,17 @@
 /// Encodes calls to replicas and decodes their answers, and reads the id of
 /// the replica that answered a health check.
 template <class Codec>
-concept target_codec =
-    requires(const target_call& call, milliseconds patience,
-             http_response response) {
-        {
-            Codec::encode_call(call, patience)
-        } -> std::same_as<std::string>;
-        {
-            Codec::decode_reply(std::move(response))
-        } -> std::same_as<target_reply>;
-        {
-            Codec::replica_named(response)
-        } -> std::same_as<std::optional<leaf_id>>;
-    };
+concept target_codec = requires(const target_call& call, milliseconds patience,
+                                http_response response) {
+    {
+        Codec::encode_call(call, patience)
+    } -> std::same_as<std::string>;
+    {
+        Codec::decode_reply(std::move(response))
+    } -> std::same_as<target_reply>;
+    {
+        Codec::replica_named(response)
+    } -> std::same_as<std::optional<leaf_id>>;
+};
 
 } // namespace basilpath
--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -19,7 +19,6 @@
 namespace basilpath
 {
 
-
 /// Keeps itself alive until the connection has ended. The owner is told of each
 /// result and of the end.
 template <target_codec Codec>
@@ -77,8 +76,8 @@
     }
 
 private:
-    using parser = boost::beast::http::response_parser<
-        boost::beast::http::string_body>;
+    using parser =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> read();
     bool parse();
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -67,8 +67,8 @@
     this->call->sent = now;
     this->call->on_wire = true;
     this->start_parser();
-    const auto patience = std::chrono::duration_cast<milliseconds>(
-        this->call->deadline - now);
+    const auto patience =
+        std::chrono::duration_cast<milliseconds>(this->call->deadline - now);
     this->outgoing = Codec::encode_call(*this->call, patience);
     const auto self = this->shared_from_this();
     boost::asio::async_write(
--- a/src/node/process/call_queue.cpp
+++ b/src/node/process/call_queue.cpp
@@ -32,7 +32,9 @@
 std::vector<std::shared_ptr<target_call>> call_queue::take_ended(instant now)
 {
     const auto ended = [now](const std::shared_ptr<target_call>& one)
-    { return one->given_up || now >= one->deadline; };
+    {
+        return one->given_up || now >= one->deadline;
+    };
     std::vector<std::shared_ptr<target_call>> taken;
     std::ranges::copy_if(this->calls, std::back_inserter(taken), ended);
     std::erase_if(this->calls, ended);
--- a/src/node/process/item_source.hpp
+++ b/src/node/process/item_source.hpp
@@ -33,14 +33,14 @@
 
 /// Reads the items that concern this system. Counts its calls.
 template <class Source>
-concept item_source = requires(Source& source, store_revision after,
-                               milliseconds wait) {
-    {
-        source.read_all()
-    } -> std::same_as<boost::asio::awaitable<read_result>>;
-    {
-        source.watch(after, wait)
-    } -> std::same_as<boost::asio::awaitable<read_result>>;
-};
+concept item_source =
+    requires(Source& source, store_revision after, milliseconds wait) {
+        {
+            source.read_all()
+        } -> std::same_as<boost::asio::awaitable<read_result>>;
+        {
+            source.watch(after, wait)
+        } -> std::same_as<boost::asio::awaitable<read_result>>;
+    };
 
 } // namespace basilpath
--- a/src/node/process/member.hpp
+++ b/src/node/process/member.hpp
@@ -46,9 +46,8 @@
     /// Whether this description replaces `other`.
     [[nodiscard]] bool newer_than(const member& other) const
     {
-        return this->counter != other.counter
-                   ? this->counter > other.counter
-                   : this->state > other.state;
+        return this->counter != other.counter ? this->counter > other.counter
+                                              : this->state > other.state;
     }
 };
 
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -21,6 +21,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace basilpath
 {
@@ -48,6 +49,7 @@
     boost::asio::awaitable<http_response>
     answer_directory(std::shared_ptr<http_request> request);
     boost::asio::awaitable<http_response> answer_readiness();
+    boost::asio::awaitable<http_response> answer_metrics();
     boost::asio::awaitable<void> await_end();
     boost::asio::awaitable<void> drain();
     void take_item(const item_change& change);
@@ -65,6 +67,8 @@
     real_runtime run;
     pool targets;
     repeat_budget repeats;
+    request_log requests;
+    node_metrics metrics;
     shared_services shared;
     query_service<real_runtime, pool> queries;
     view_state view;
@@ -75,6 +79,7 @@
     node_http_server callers;
     node_http_server readiness;
     node_http_server directory;
+    std::optional<node_http_server> exposition;
     std::shared_ptr<const route_table> routes;
     std::chrono::steady_clock::time_point started;
     bool leaving = false;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -61,7 +61,9 @@
       targets(context, this->settings.domain),
       repeats({this->settings.repeat_ratio, this->settings.repeat_slack,
                this->settings.repeat_window}),
-      shared{this->run, this->targets, this->repeats}, queries(this->shared),
+      shared{this->run, this->targets, this->repeats, this->requests,
+             this->metrics},
+      queries(this->shared),
       view([this](const item_change& change) { this->take_item(change); }),
       members(describe(this->settings, this->run.random()),
               to_instant(std::chrono::steady_clock::now())),
@@ -72,8 +74,7 @@
              role_of(this->settings)),
       callers(context, this->settings.callers.value,
               [this](std::shared_ptr<http_request> request,
-                     std::shared_ptr<caller_presence> presence)
-              {
+                     std::shared_ptr<caller_presence> presence) {
                   return this->answer_caller(std::move(request),
                                              std::move(presence));
               }),
@@ -86,6 +87,13 @@
                        const std::shared_ptr<caller_presence>&)
                 { return this->answer_directory(std::move(request)); })
 {
+    if (!this->settings.metrics.value.empty())
+    {
+        this->exposition.emplace(context, this->settings.metrics.value,
+                                 [this](const std::shared_ptr<http_request>&,
+                                        const std::shared_ptr<caller_presence>&)
+                                 { return this->answer_metrics(); });
+    }
     this->started = std::chrono::steady_clock::now();
     this->share_bounds();
 }
@@ -100,6 +108,10 @@
     this->callers.start();
     this->readiness.start();
     this->directory.start();
+    if (this->exposition)
+    {
+        this->exposition->start();
+    }
     this->targets.start();
     this->peers.start();
     boost::asio::co_spawn(this->context, this->reader.run(),
@@ -134,8 +146,8 @@
     const steering_state known{this->members.live(),
                                this->targets.shard_domains()};
     co_return Adapter::directory(
-        steer(known, *question), std::min(node_bounds::directory_keep,
-                        this->settings.directory_keep));
+        steer(known, *question),
+        std::min(node_bounds::directory_keep, this->settings.directory_keep));
 }
 
 template <class Adapter>
@@ -144,6 +156,29 @@
     co_return Adapter::readiness(this->ready());
 }
 
+template <class Adapter>
+boost::asio::awaitable<http_response> node<Adapter>::answer_metrics()
+{
+    const instant now = to_instant(std::chrono::steady_clock::now());
+    node_figures figures;
+    figures.store_calls = this->store.calls();
+    figures.datagrams_sent = this->peers.sent();
+    figures.log_lines_dropped = dropped_log_lines();
+    figures.requests_not_logged = this->requests.dropped();
+    figures.live_hosts = static_cast<double>(this->members.live().size());
+    figures.replicas = static_cast<double>(this->targets.replica_count());
+    figures.configuration_version =
+        this->routes ? static_cast<double>(this->routes->version().value) : 0;
+    const milliseconds age = this->view.age(now).value_or(milliseconds(0));
+    figures.view_age_seconds = static_cast<double>(age.count()) / 1000.0;
+    figures.connections = static_cast<double>(this->callers.connection_count());
+    http_response response(boost::beast::http::status::ok, 11);
+    response.set(boost::beast::http::field::content_type,
+                 std::string(metrics_registry::content_type));
+    response.body() = this->metrics.expose(figures);
+    co_return response;
+}
+
 template <class Adapter>
 boost::asio::awaitable<void> node<Adapter>::await_end()
 {
@@ -189,6 +224,7 @@
     log_event(log_level::info, "stopped",
               {{"host", this->settings.name.value},
                {"unanswered", this->callers.busy_count()}});
+    flush_log();
 }
 
 // Takes one change of the store.
@@ -211,8 +247,7 @@
             }
             else if constexpr (std::is_same_v<type, replica_removed>)
             {
-                this->targets.drop_replica(one.id,
-                                           node_bounds::lapse_patience);
+                this->targets.drop_replica(one.id, node_bounds::lapse_patience);
             }
             else if constexpr (!std::is_same_v<type, foreign_item>)
             {
@@ -259,6 +294,7 @@
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
         this->share_bounds();
+        flush_log();
     }
 }
 
@@ -295,9 +331,8 @@
 template <class Adapter>
 reader_role node<Adapter>::role_of(const node_settings& settings)
 {
-    const bool seed =
-        std::ranges::find(settings.seeds, settings.peers) !=
-        settings.seeds.end();
+    const bool seed = std::ranges::find(settings.seeds, settings.peers) !=
+                      settings.seeds.end();
     if (seed)
     {
         return reader_role::seed;
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -30,6 +30,9 @@
     /// Where callers ask which host to use.
     http_address directory;
 
+    /// Where metrics are read; empty for nowhere.
+    http_address metrics;
+
     /// Where other nodes connect; the port is the same on all hosts.
     peer_address peers;
 
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -123,8 +123,7 @@
         if (!datagram)
         {
             log_event(log_level::warning, "datagram_unreadable",
-                      {{"from", from.address().to_string()},
-                       {"bytes", count}});
+                      {{"from", from.address().to_string()}, {"bytes", count}});
             continue;
         }
         this->take(*datagram);
@@ -302,11 +301,10 @@
 {
     const std::vector<peer_address> known = this->members.peers();
     std::vector<peer_address> result;
-    std::ranges::copy_if(this->seeds, std::back_inserter(result),
-                         [&known](const peer_address& seed) {
-                             return std::ranges::find(known, seed) ==
-                                    known.end();
-                         });
+    std::ranges::copy_if(
+        this->seeds, std::back_inserter(result),
+        [&known](const peer_address& seed)
+        { return std::ranges::find(known, seed) == known.end(); });
     return result;
 }
 
--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -35,8 +35,7 @@
     {
         const candidate& one = candidates[i];
         const bool asked =
-            std::ranges::find(query.asked, one.target->id) !=
-            query.asked.end();
+            std::ranges::find(query.asked, one.target->id) != query.asked.end();
         if (asked || one.health->down() || one.target->leaving)
         {
             continue;
@@ -52,8 +51,8 @@
         {
             cost += lapsed_cost;
         }
-        cost += microseconds(random % static_cast<std::uint64_t>(
-                                          random_spread.count()));
+        cost += microseconds(random %
+                             static_cast<std::uint64_t>(random_spread.count()));
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
         if (cost < least)
         {
--- a/src/node/process/query_service.hpp
+++ b/src/node/process/query_service.hpp
@@ -5,6 +5,7 @@
 #include "node/request/caller_query.hpp"
 #include "node/request/forward_session.hpp"
 #include "node/request/gather_session.hpp"
+#include "node/request/request_journal.hpp"
 #include "node/request/request_services.hpp"
 #include "node/version/route_table.hpp"
 
@@ -39,15 +40,27 @@
            std::shared_ptr<caller_presence> presence);
 
 private:
-    boost::asio::awaitable<caller_reply>
-    gather(std::shared_ptr<const route_table> table, const route& rule,
-           std::shared_ptr<const caller_query> query,
-           std::shared_ptr<caller_presence> presence);
-    boost::asio::awaitable<caller_reply>
-    forward(std::shared_ptr<const route_table> table, const route& rule,
-            std::shared_ptr<const caller_query> query,
-            std::shared_ptr<caller_presence> presence);
-    [[nodiscard]] caller_reply refuse(unsigned status, std::string reason);
+    /// A request on its way through its session.
+    struct request_state
+    {
+        std::shared_ptr<const route_table> table;
+        const route& rule;
+        std::shared_ptr<const caller_query> query;
+        std::shared_ptr<caller_presence> presence;
+        request_summary summary;
+        request_journal journal;
+    };
+
+    using state_pointer = std::shared_ptr<request_state>;
+
+    boost::asio::awaitable<caller_reply> gather(state_pointer state);
+    boost::asio::awaitable<caller_reply> forward(state_pointer state);
+    void note_unrouted(const caller_query& query, unsigned status,
+                       std::string outcome);
+    void note_end(request_state& state, const caller_reply& reply);
+    [[nodiscard]] caller_reply refuse(request_state& state, unsigned status,
+                                      std::string outcome);
+    [[nodiscard]] milliseconds return_wait();
     [[nodiscard]] milliseconds spent(const route& rule, milliseconds patience);
     [[nodiscard]] service_name choose_part(const route& rule);
 
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -23,50 +23,69 @@
 } // namespace query_service_bounds
 
 template <runtime Runtime, target_transport Transport>
-boost::asio::awaitable<caller_reply>
-query_service<Runtime, Transport>::answer(
+boost::asio::awaitable<caller_reply> query_service<Runtime, Transport>::answer(
     std::shared_ptr<const caller_query> query,
     std::shared_ptr<caller_presence> presence)
 {
     const auto table = this->routes;
     if (!table)
     {
-        co_return this->refuse(503, "no configuration yet");
+        this->note_unrouted(*query, 503, "no_configuration");
+        co_return caller_reply{
+            503, {}, "no configuration yet\n", this->return_wait(), {}, {}};
     }
     const std::string_view path =
         std::string_view(query->target).substr(0, query->target.find('?'));
     const route* const rule = table->find(query->host, path);
     if (!rule)
     {
+        this->note_unrouted(*query, 404, "no_route");
         co_return caller_reply{404, {}, "no such route\n", {}, {}, {}};
     }
+    const milliseconds patience = query->patience.value_or(rule->timeout);
+    const auto state = std::make_shared<request_state>(
+        request_state{table, *rule, query, std::move(presence), {}, {}});
+    state->summary.id = query->id;
+    state->summary.route = rule->name;
+    state->summary.version = table->version();
+    state->summary.arrived = query->arrived;
+    state->summary.patience = patience;
+    state->summary.spent =
+        this->spent(*rule, patience) + state->presence->travelled();
+    caller_reply reply;
     if (rule->gathers())
     {
-        co_return co_await this->gather(table, *rule, std::move(query),
-                                        std::move(presence));
+        reply = co_await this->gather(state);
+    }
+    else
+    {
+        reply = co_await this->forward(state);
     }
-    co_return co_await this->forward(table, *rule, std::move(query),
-                                     std::move(presence));
+    this->note_end(*state, reply);
+    co_return reply;
 }
 
 template <runtime Runtime, target_transport Transport>
 boost::asio::awaitable<caller_reply>
-query_service<Runtime, Transport>::gather(
-    std::shared_ptr<const route_table> table, const route& rule,
-    std::shared_ptr<const caller_query> query,
-    std::shared_ptr<caller_presence> presence)
+query_service<Runtime, Transport>::gather(state_pointer state)
 {
-    const milliseconds patience = query->patience.value_or(rule.timeout);
-    const gather_times times{query->arrived,
-                             this->spent(rule, patience) + presence->travelled(),
-                             presence->return_trip(), patience,
+    const route& rule = state->rule;
+    state->journal.reserve(rule.gather.shards.size() * 2);
+    const gather_times times{state->query->arrived, state->summary.spent,
+                             state->presence->return_trip(),
+                             state->summary.patience,
                              this->shared.targets.latency(rule.name).slow};
     const auto session = std::make_shared<gather_session<Runtime, Transport>>(
-        this->shared, std::move(table), rule, query, times);
-    gather_result result = co_await session->run(std::move(presence));
+        this->shared, state->table, rule, state->query, times, state->journal);
+    gather_result result = co_await session->run(state->presence);
+    state->summary.shards = rule.gather.shards.size();
+    state->summary.parts = state->summary.shards - result.failed;
+    state->summary.repeats = result.repeats;
     switch (result.end)
     {
     case gather_end::answered:
+        state->summary.outcome =
+            result.answer.missing == 0 ? "answered" : "answered_partly";
         co_return caller_reply{200,
                                {},
                                std::move(result.answer.records),
@@ -74,33 +93,34 @@
                                std::move(result.answer.signatures),
                                result.answer.missing};
     case gather_end::not_attempted:
-        co_return this->refuse(503, "too few shards have a replica");
+        co_return this->refuse(*state, 503, "too_few_replicas");
     case gather_end::out_of_reach:
-        co_return this->refuse(502, "too many shards failed");
+        co_return this->refuse(*state, 502, "too_many_shards_failed");
     case gather_end::caller_left:
+        co_return this->refuse(*state, 504, "caller_left");
     case gather_end::timed_out:
         break;
     }
-    co_return this->refuse(504, "too few shards answered in time");
+    co_return this->refuse(*state, 504, "too_few_shards_in_time");
 }
 
 template <runtime Runtime, target_transport Transport>
 boost::asio::awaitable<caller_reply>
-query_service<Runtime, Transport>::forward(
-    std::shared_ptr<const route_table> table, const route& rule,
-    std::shared_ptr<const caller_query> query,
-    std::shared_ptr<caller_presence> presence)
+query_service<Runtime, Transport>::forward(state_pointer state)
 {
-    const forward_times times{query->arrived,
-                              query->patience.value_or(rule.timeout),
+    const route& rule = state->rule;
+    const forward_times times{state->query->arrived, state->summary.patience,
                               this->shared.targets.latency(rule.name).slow};
     const auto session = std::make_shared<forward_session<Runtime, Transport>>(
-        this->shared, std::move(table), rule, this->choose_part(rule), query,
-        times);
-    forward_result result = co_await session->run(std::move(presence));
+        this->shared, state->table, rule, this->choose_part(rule), state->query,
+        times, state->journal);
+    forward_result result = co_await session->run(state->presence);
+    state->summary.repeats = result.repeats;
     switch (result.end)
     {
     case forward_end::answered:
+        state->summary.outcome =
+            result.reply.success() ? "answered" : "replica_failed";
         co_return caller_reply{result.reply.status,
                                std::move(result.reply.headers),
                                std::move(result.reply.body),
@@ -108,26 +128,71 @@
                                {},
                                {}};
     case forward_end::not_run:
-        co_return this->refuse(503, "no replica could run the request");
+        co_return this->refuse(*state, 503, "no_replica_could_run_it");
     case forward_end::caller_left:
+        co_return this->refuse(*state, 504, "caller_left");
     case forward_end::may_have_run:
         break;
     }
-    co_return this->refuse(504, "no answer; the request may have run");
+    co_return this->refuse(*state, 504, "no_answer_may_have_run");
+}
+
+// Counts and logs a request that no route takes.
+template <runtime Runtime, target_transport Transport>
+void query_service<Runtime, Transport>::note_unrouted(const caller_query& query,
+                                                      unsigned status,
+                                                      std::string outcome)
+{
+    request_summary summary;
+    summary.id = query.id;
+    summary.outcome = std::move(outcome);
+    summary.status = status;
+    summary.arrived = query.arrived;
+    summary.noteworthy = true;
+    if (this->routes)
+    {
+        summary.version = this->routes->version();
+    }
+    const request_journal none;
+    this->shared.metrics.note(summary, none);
+    this->shared.log.note(summary, none, query.arrived);
+}
+
+// Counts and logs a request that has ended.
+template <runtime Runtime, target_transport Transport>
+void query_service<Runtime, Transport>::note_end(request_state& state,
+                                                 const caller_reply& reply)
+{
+    const instant time = to_instant(Runtime::clock::now());
+    request_summary& summary = state.summary;
+    summary.status = reply.status;
+    summary.took = time - summary.arrived;
+    summary.noteworthy = reply.status >= 300 ||
+                         reply.missing_parts.value_or(0) > 0 ||
+                         summary.took + summary.spent > state.rule.objective;
+    this->shared.metrics.note(summary, state.journal);
+    this->shared.log.note(summary, state.journal, time);
+}
+
+template <runtime Runtime, target_transport Transport>
+caller_reply query_service<Runtime, Transport>::refuse(request_state& state,
+                                                       unsigned status,
+                                                       std::string outcome)
+{
+    state.summary.outcome = std::move(outcome);
+    return {status, {}, state.summary.outcome + "\n", this->return_wait(),
+            {},     {}};
 }
 
 template <runtime Runtime, target_transport Transport>
-caller_reply query_service<Runtime, Transport>::refuse(unsigned status,
-                                                       std::string reason)
+milliseconds query_service<Runtime, Transport>::return_wait()
 {
-    const auto range = query_service_bounds::most_return -
-                       query_service_bounds::least_return;
-    const milliseconds wait =
-        query_service_bounds::least_return +
-        milliseconds(static_cast<std::int64_t>(
-            this->shared.run.random() %
-            static_cast<std::uint64_t>(range.count())));
-    return {status, {}, reason + "\n", wait, {}, {}};
+    const auto range =
+        query_service_bounds::most_return - query_service_bounds::least_return;
+    return query_service_bounds::least_return +
+           milliseconds(static_cast<std::int64_t>(
+               this->shared.run.random() %
+               static_cast<std::uint64_t>(range.count())));
 }
 
 // How long the caller has waited in earlier attempts: a first attempt comes
--- a/src/node/process/repeat_budget.cpp
+++ b/src/node/process/repeat_budget.cpp
@@ -74,8 +74,8 @@
         std::int64_t(slices);
     const std::int64_t number = now.time_since_epoch().count() / length;
     history& past = this->services[service];
-    slice& slot = past[static_cast<std::size_t>(
-        number % std::int64_t(past.size()))];
+    slice& slot =
+        past[static_cast<std::size_t>(number % std::int64_t(past.size()))];
     if (slot.number != number)
     {
         slot = {number, 0, 0};
--- a/src/node/process/repeat_budget.hpp
+++ b/src/node/process/repeat_budget.hpp
@@ -58,7 +58,8 @@
     using history = std::array<slice, slices + 1>;
 
     slice& current(const service_name& service, instant now);
-    [[nodiscard]] double allowed(const history& past, std::int64_t number) const;
+    [[nodiscard]] double allowed(const history& past,
+                                 std::int64_t number) const;
 
     repeat_bound bound;
     double slack_share = 1.0;
--- /dev/null
+++ b/src/node/process/request_log.cpp
@@ -0,0 +1,111 @@
+#include "node/process/request_log.hpp"
+
+#include "process/log.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace basilpath
+{
+
+namespace
+{
+
+// One request in this many is logged although nothing went wrong.
+constexpr std::uint64_t sample_rate = 256;
+
+// Lines about requests in a second, over all; a line costs about 5 us of
+// processor, so this is a tenth of a percent of a core.
+constexpr double lines_a_second = 200;
+
+// Lines that may be written at once after a quiet time.
+constexpr double burst_lines = 600;
+
+void log_decision(const request_id& id, instant arrived,
+                  const decision_record& one)
+{
+    const bool call = one.what <= decision::call_retry;
+    const auto offset = (one.at - arrived).count();
+    if (call)
+    {
+        log_event(log_level::info, to_text(one.what),
+                  {{"request", id.value},
+                   {"at_us", offset},
+                   {"shard", one.shard},
+                   {"replica", one.replica.value},
+                   {"expected_us", one.time.count()},
+                   {"outstanding", one.number},
+                   {"load_age_ms", one.load_age.count()}});
+        return;
+    }
+    log_event(log_level::info, to_text(one.what),
+              {{"request", id.value},
+               {"at_us", offset},
+               {"shard", one.shard},
+               {"replica", one.replica.value},
+               {"took_us", one.time.count()},
+               {"status", one.number}});
+}
+
+} // namespace
+
+bool is_sampled(const request_id& id)
+{
+    return XXH3_64bits(id.value.data(), id.value.size()) % sample_rate == 0;
+}
+
+void request_log::note(const request_summary& summary,
+                       const request_journal& journal, instant now)
+{
+    const std::size_t lines = journal.decisions().size() + 1;
+    if (!this->choose(summary, lines, now))
+    {
+        return;
+    }
+    for (const decision_record& one : journal.decisions())
+    {
+        log_decision(summary.id, summary.arrived, one);
+    }
+    log_event(log_level::info, "request",
+              {{"request", summary.id.value},
+               {"outcome", summary.outcome},
+               {"status", summary.status},
+               {"route", summary.route},
+               {"version", summary.version.value},
+               {"took_us", summary.took.count()},
+               {"patience_ms", summary.patience.count()},
+               {"spent_us", summary.spent.count()},
+               {"parts", summary.parts},
+               {"shards", summary.shards},
+               {"repeats", summary.repeats}});
+}
+
+bool request_log::choose(const request_summary& summary, std::size_t lines,
+                         instant now)
+{
+    const std::chrono::duration<double> passed = now - this->filled_at;
+    this->filled_at = now;
+    this->allowance = std::min(
+        burst_lines, this->allowance + passed.count() * lines_a_second);
+    if (!summary.noteworthy && !is_sampled(summary.id))
+    {
+        return false;
+    }
+    if (static_cast<double>(lines) > this->allowance)
+    {
+        ++this->dropped_count;
+        return false;
+    }
+    this->allowance -= static_cast<double>(lines);
+    if (this->dropped_count > this->dropped_told)
+    {
+        log_event(log_level::warning, "requests_not_logged",
+                  {{"count", this->dropped_count - this->dropped_told}});
+        this->dropped_told = this->dropped_count;
+    }
+    return true;
+}
+
+} // namespace basilpath
--- a/src/node/process/roster.cpp
+++ b/src/node/process/roster.cpp
@@ -40,9 +40,7 @@
 
 } // namespace
 
-roster::roster(member own, instant) : self(std::move(own))
-{
-}
+roster::roster(member own, instant) : self(std::move(own)) {}
 
 bool roster::merge(const member& told, instant now)
 {
@@ -130,8 +128,8 @@
         }
         return nullptr;
     };
-    if (record* const dead = now >= this->dead_probe_at ? next_of(true)
-                                                        : nullptr)
+    if (record* const dead =
+            now >= this->dead_probe_at ? next_of(true) : nullptr)
     {
         this->dead_probe_at = now + dead_probe_interval;
         chosen.push_back(dead->described.address);
--- a/src/node/process/steering.cpp
+++ b/src/node/process/steering.cpp
@@ -34,10 +34,11 @@
 {
     // Step 1. Only hosts that can serve.
     std::vector<member> hosts;
-    std::ranges::copy_if(
-        state.hosts, std::back_inserter(hosts),
-        [](const member& one)
-        { return one.ready && one.state == member_state::alive; });
+    std::ranges::copy_if(state.hosts, std::back_inserter(hosts),
+                         [](const member& one) {
+                             return one.ready &&
+                                    one.state == member_state::alive;
+                         });
 
     // Step 2. Strong hosts, then those beside replicas, then the near ones.
     double processor = 0;
@@ -47,13 +48,13 @@
         processor = std::max(processor, one.processor_share);
         link = std::max(link, one.link_mbps);
     }
-    hosts = prefer(hosts,
-                   [=](const member& one)
-                   {
-                       return one.processor_share >=
-                                  processor * least_strength &&
-                              one.link_mbps >= link * least_strength;
-                   });
+    hosts =
+        prefer(hosts,
+               [=](const member& one)
+               {
+                   return one.processor_share >= processor * least_strength &&
+                          one.link_mbps >= link * least_strength;
+               });
     hosts = prefer(hosts, [&state](const member& one)
                    { return state.replica_domains.contains(one.domain); });
     hosts = prefer(hosts, [&question](const member& one)
--- a/src/node/process/target_health.cpp
+++ b/src/node/process/target_health.cpp
@@ -82,14 +82,13 @@
         return;
     }
     this->failures_in_row = 0;
-    const double expected = std::max(1.0, static_cast<double>(usual.count())) *
-                            this->pace(now);
+    const double expected =
+        std::max(1.0, static_cast<double>(usual.count())) * this->pace(now);
     const double ratio =
         std::clamp(static_cast<double>(latency.count()) / expected, 0.1, 20.0);
     this->slowness += answer_weight * (ratio - this->slowness);
-    this->service_us +=
-        answer_weight * (static_cast<double>(latency.count()) -
-                         this->service_us);
+    this->service_us += answer_weight * (static_cast<double>(latency.count()) -
+                                         this->service_us);
     this->failures = this->failure_rate(now) * (1 - answer_weight);
     this->failures_at = now;
 }
@@ -134,8 +133,8 @@
 
 void target_health::on_probe_started(instant now)
 {
-    this->probe_wait = std::clamp(this->probe_wait * 2, least_probe_wait,
-                                  most_probe_wait);
+    this->probe_wait =
+        std::clamp(this->probe_wait * 2, least_probe_wait, most_probe_wait);
     this->probe_at = now + this->probe_wait;
 }
 
--- a/src/node/process/target_health.hpp
+++ b/src/node/process/target_health.hpp
@@ -5,6 +5,7 @@
 #include "process/instant.hpp"
 #include "version/ids.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <optional>
@@ -69,6 +70,12 @@
     /// Requests of other hosts that are at the replica, as far as it said.
     [[nodiscard]] double others(instant now) const;
 
+    /// How long ago the replica last told its load.
+    [[nodiscard]] milliseconds report_age(instant now) const
+    {
+        return std::chrono::duration_cast<milliseconds>(now - this->report_at);
+    }
+
     /// What a request lately took, from sending to answer.
     [[nodiscard]] microseconds service_time() const
     {
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -113,8 +113,8 @@
     void dispatch(const entry_pointer& one);
     void end_calls(const entry_pointer& one,
                    const std::vector<std::shared_ptr<target_call>>& calls);
-    [[nodiscard]] std::shared_ptr<connection>
-    idle_connection(const entry& one, bool fresh) const;
+    [[nodiscard]] std::shared_ptr<connection> idle_connection(const entry& one,
+                                                              bool fresh) const;
     [[nodiscard]] bool has_room(const entry& one) const;
     void take_result(const entry_pointer& one,
                      const std::shared_ptr<target_call>& call,
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -85,9 +85,8 @@
         }
         this->drop_replica(one.id, milliseconds(0));
     }
-    const auto made = std::make_shared<entry>(
-        entry{one, target_health(one.slots, one.warmup, now()), {}, {}, {},
-              false});
+    const auto made = std::make_shared<entry>(entry{
+        one, target_health(one.slots, one.warmup, now()), {}, {}, {}, false});
     this->entries[one.id] = made;
     this->by_service[one.service].push_back(made);
     this->open(made);
@@ -147,8 +146,7 @@
 }
 
 template <target_codec Codec>
-void target_pool<Codec>::set_host_count(std::size_t hosts,
-                                        std::size_t serving)
+void target_pool<Codec>::set_host_count(std::size_t hosts, std::size_t serving)
 {
     this->host_count = std::max<std::size_t>(hosts, 1);
     this->serving_count = std::max<std::size_t>(serving, 1);
@@ -164,11 +162,11 @@
     {
         return result;
     }
-    std::ranges::transform(found->second, std::back_inserter(result),
-                           [](const entry_pointer& one) {
-                               return candidate{&one->target, &one->health,
-                                                one->lapsed};
-                           });
+    std::ranges::transform(
+        found->second, std::back_inserter(result),
+        [](const entry_pointer& one) {
+            return candidate{&one->target, &one->health, one->lapsed};
+        });
     return result;
 }
 
@@ -228,9 +226,8 @@
             this->dispatch(owner);
         }
     };
-    told.result =
-        [this, weak](const std::shared_ptr<target_call>& call,
-                     target_result result)
+    told.result = [this, weak](const std::shared_ptr<target_call>& call,
+                               target_result result)
     {
         if (const auto owner = weak.lock())
         {
@@ -269,8 +266,7 @@
         {
             break;
         }
-        const auto call =
-            one->waiting.pop(time, one->health.service_time());
+        const auto call = one->waiting.pop(time, one->health.service_time());
         if (call->fresh)
         {
             const auto stale = idle;
@@ -286,9 +282,8 @@
         }
         idle->send(call, time);
     }
-    const auto connecting = static_cast<std::size_t>(
-        std::ranges::count_if(one->connections, [](const auto& open)
-                              { return open->connecting(); }));
+    const auto connecting = static_cast<std::size_t>(std::ranges::count_if(
+        one->connections, [](const auto& open) { return open->connecting(); }));
     const bool any_idle = this->idle_connection(*one, false) != nullptr;
     if (one->waiting.size() > connecting && !any_idle &&
         one->connections.size() < this->connection_bound(*one) &&
@@ -326,8 +321,7 @@
         one.target.slots + target_pool_bounds::queue_places;
     const std::size_t share =
         (places + this->serving_count - 1) / this->serving_count;
-    const double all =
-        static_cast<double>(own) + one.health.others(now());
+    const double all = static_cast<double>(own) + one.health.others(now());
     return own < std::max<std::size_t>(share, 1) ||
            all + 1.0 <= static_cast<double>(one.target.slots);
 }
@@ -439,9 +433,8 @@
     for (const auto& open : open_connections)
     {
         const auto& call = open->carried();
-        const bool cut =
-            call && ((call->given_up && time >= call->cut_at) ||
-                     time >= call->deadline);
+        const bool cut = call && ((call->given_up && time >= call->cut_at) ||
+                                  time >= call->deadline);
         const bool stuck =
             open->connecting() &&
             time - open->since() > target_pool_bounds::connect_limit;
@@ -501,10 +494,8 @@
     const service_rule* rule =
         this->table ? this->table->service(one->target.service) : nullptr;
     const std::string path = rule ? rule->health_path : "/health";
-    node_http_client client(this->context.get_executor(),
-                            one->target.address);
-    auto response =
-        co_await client.get(path, target_pool_bounds::probe_limit);
+    node_http_client client(this->context.get_executor(), one->target.address);
+    auto response = co_await client.get(path, target_pool_bounds::probe_limit);
     client.close();
     const bool answered = response.has_value() &&
                           Codec::replica_named(*response) == one->target.id;
--- a/src/node/process/view_reader.ipp
+++ b/src/node/process/view_reader.ipp
@@ -40,8 +40,8 @@
 /// start for the first time nobody waits for answers yet.
 inline constexpr milliseconds least_first_wait{400};
 inline constexpr milliseconds most_first_wait{800};
-inline constexpr milliseconds least_restart_wait{80};
-inline constexpr milliseconds most_restart_wait{240};
+inline constexpr milliseconds least_restart_wait{20};
+inline constexpr milliseconds most_restart_wait{120};
 
 /// Least time between two watches, so that many small changes come together.
 inline constexpr milliseconds gather_wait{300};
@@ -67,9 +67,9 @@
     const milliseconds most = first ? view_reader_bounds::most_first_wait
                                     : view_reader_bounds::most_restart_wait;
     this->first_read_at +=
-        least + milliseconds(static_cast<std::int64_t>(
-                    run.random() %
-                    static_cast<std::uint64_t>((most - least).count())));
+        least +
+        milliseconds(static_cast<std::int64_t>(
+            run.random() % static_cast<std::uint64_t>((most - least).count())));
 }
 
 template <runtime Runtime, item_source Source>
--- a/src/node/process/view_state.hpp
+++ b/src/node/process/view_state.hpp
@@ -47,8 +47,7 @@
     /// The view was whole at this time.
     void confirm(instant as_of)
     {
-        this->confirmed =
-            std::max(this->confirmed.value_or(as_of), as_of);
+        this->confirmed = std::max(this->confirmed.value_or(as_of), as_of);
     }
 
     /// How long ago the view was known to be whole; nothing when never.
@@ -58,8 +57,7 @@
         {
             return std::nullopt;
         }
-        return std::chrono::duration_cast<milliseconds>(now -
-                                                        *this->confirmed);
+        return std::chrono::duration_cast<milliseconds>(now - *this->confirmed);
     }
 
     [[nodiscard]] const item_view& view() const
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -19,26 +19,27 @@
 forward_session<Runtime, Transport>::forward_session(
     services& shared, std::shared_ptr<const route_table> table,
     const route& rule, service_name service,
-    std::shared_ptr<const caller_query> query, forward_times times)
+    std::shared_ptr<const caller_query> query, forward_times times,
+    request_journal& journal)
     : shared(shared), table(std::move(table)), rule(rule),
       service(std::move(service)), query(std::move(query)),
-      plan(plan_forward(rule, times)), events(shared.run)
+      plan(plan_forward(rule, times)), journal(journal), events(shared.run)
 {
 }
 
 template <runtime Runtime, target_transport Transport>
-boost::asio::awaitable<forward_result>
-forward_session<Runtime, Transport>::run(
+boost::asio::awaitable<forward_result> forward_session<Runtime, Transport>::run(
     std::shared_ptr<caller_presence> presence)
 {
     const auto self = this->shared_from_this();
-    presence->on_gone([weak = this->weak_from_this()]
-                      {
-                          if (const auto session = weak.lock())
-                          {
-                              session->events.wake();
-                          }
-                      });
+    presence->on_gone(
+        [weak = this->weak_from_this()]
+        {
+            if (const auto session = weak.lock())
+            {
+                session->events.wake();
+            }
+        });
     this->shared.repeats.note_request(this->service, this->now());
     if (!this->ask())
     {
@@ -46,11 +47,11 @@
     }
     while (true)
     {
-        const bool may_hedge = this->rule.idempotent &&
-                               this->sends < this->rule.attempts;
-        const instant until = may_hedge
-                                  ? std::min(this->hedge_at, this->plan.deadline)
-                                  : this->plan.deadline;
+        const bool may_hedge =
+            this->rule.idempotent && this->sends < this->rule.attempts;
+        const instant until =
+            may_hedge ? std::min(this->hedge_at, this->plan.deadline)
+                      : this->plan.deadline;
         auto event = co_await this->events.pop_until(
             to_clock<typename Runtime::clock>(until));
         while (event)
@@ -88,18 +89,33 @@
         this->shared.targets.candidates(this->service);
     const microseconds usual =
         this->shared.targets.latency(this->rule.name).usual;
-    const auto choice = choose_replica(
-        candidates, {time, usual, &this->shared.targets.domain(), this->asked,
-                     this->shared.run.random()});
+    const auto choice =
+        choose_replica(candidates, {time, usual, &this->shared.targets.domain(),
+                                    this->asked, this->shared.run.random()});
     if (choice)
     {
         this->take_back_unsent();
     }
+    const bool repeat = this->is_repeat();
     if (!choice ||
-        (this->is_repeat() && !this->shared.repeats.try_spend(this->service, time)))
+        (repeat && !this->shared.repeats.try_spend(this->service, time)))
     {
+        this->journal.add({choice ? decision::no_budget : decision::no_replica,
+                           time,
+                           0,
+                           {},
+                           {},
+                           0,
+                           {}});
         return false;
     }
+    const target_health& health = *candidates[choice->index].health;
+    const decision kind = !repeat               ? decision::call_first
+                          : this->calls.empty() ? decision::call_retry
+                                                : decision::call_hedge;
+    this->journal.add({kind, time, 0, candidates[choice->index].target->id,
+                       choice->expected, health.outstanding(),
+                       health.report_age(time)});
     const auto call = std::make_shared<target_call>();
     call->query = this->query;
     call->to = candidates[choice->index].target->id;
@@ -135,12 +151,17 @@
 template <runtime Runtime, target_transport Transport>
 void forward_session<Runtime, Transport>::take_back_unsent()
 {
-    const auto unsent = [](const auto& call) { return !call->on_wire; };
+    const auto unsent = [](const auto& call)
+    {
+        return !call->on_wire;
+    };
     for (const auto& call : this->calls)
     {
         if (unsent(call))
         {
             this->shared.targets.give_up(call, milliseconds(0));
+            this->journal.add(
+                {decision::taken_back, this->now(), 0, call->to, {}, 0, {}});
             --this->sends;
         }
     }
@@ -153,6 +174,13 @@
 forward_session<Runtime, Transport>::take(call_event event)
 {
     std::erase(this->calls, event.call);
+    this->journal.add({to_decision(event.result),
+                       this->now(),
+                       0,
+                       event.call ? event.call->to : leaf_id{},
+                       event.result.latency,
+                       event.result.reply.status,
+                       {}});
     target_result& result = event.result;
     if (result.end == call_end::unsent)
     {
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/caller_presence.hpp"
 #include "node/process/gather_policy.hpp"
+#include "node/request/request_journal.hpp"
 #include "node/request/request_services.hpp"
 #include "node/request/target_call.hpp"
 #include "node/version/route_table.hpp"
@@ -61,9 +62,8 @@
     using services = request_services<Runtime, Transport>;
 
     gather_session(services& shared, std::shared_ptr<const route_table> table,
-                   const route& rule,
-                   std::shared_ptr<const caller_query> query,
-                   gather_times times);
+                   const route& rule, std::shared_ptr<const caller_query> query,
+                   gather_times times, request_journal& journal);
 
     /// Runs the query to its end.
     boost::asio::awaitable<gather_result>
@@ -98,6 +98,7 @@
     [[nodiscard]] bool is_repeat(const shard_state& state) const;
     void take_back_unsent(shard_state& state);
     void start_call(std::size_t shard, const leaf_id& to);
+    void note_result(const shard_event& event);
     void take(shard_event event);
     void retry_or_fail(std::size_t shard);
     void hedge_due(instant now);
@@ -112,6 +113,7 @@
     const route& rule;
     std::shared_ptr<const caller_query> query;
     gather_plan plan;
+    request_journal& journal;
     microseconds usual{0};
     std::size_t needed = 0;
     std::vector<shard_state> shards;
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -21,27 +21,27 @@
 gather_session<Runtime, Transport>::gather_session(
     services& shared, std::shared_ptr<const route_table> table,
     const route& rule, std::shared_ptr<const caller_query> query,
-    gather_times times)
+    gather_times times, request_journal& journal)
     : shared(shared), table(std::move(table)), rule(rule),
-      query(std::move(query)), plan(plan_gather(rule, times)),
+      query(std::move(query)), plan(plan_gather(rule, times)), journal(journal),
       needed(parts_needed(rule.gather)), shards(rule.gather.shards.size()),
       events(shared.run)
 {
 }
 
 template <runtime Runtime, target_transport Transport>
-boost::asio::awaitable<gather_result>
-gather_session<Runtime, Transport>::run(
+boost::asio::awaitable<gather_result> gather_session<Runtime, Transport>::run(
     std::shared_ptr<caller_presence> presence)
 {
     const auto self = this->shared_from_this();
-    presence->on_gone([weak = this->weak_from_this()]
-                      {
-                          if (const auto session = weak.lock())
-                          {
-                              session->events.wake();
-                          }
-                      });
+    presence->on_gone(
+        [weak = this->weak_from_this()]
+        {
+            if (const auto session = weak.lock())
+            {
+                session->events.wake();
+            }
+        });
 
     // Step 1. Ask one replica of each shard.
     this->usual = this->shared.targets.latency(this->rule.name).usual;
@@ -111,10 +111,17 @@
         this->take_back_unsent(state);
     }
     const bool repeat = this->is_repeat(state);
-    const bool allowed = choice && (!repeat || this->shared.repeats.try_spend(
-                                                   service, time));
+    const bool allowed =
+        choice && (!repeat || this->shared.repeats.try_spend(service, time));
     if (!allowed)
     {
+        this->journal.add({choice ? decision::no_budget : decision::no_replica,
+                           time,
+                           shard,
+                           {},
+                           {},
+                           0,
+                           {}});
         if (state.calls.empty() && !state.part && !state.failed)
         {
             state.failed = true;
@@ -122,8 +129,14 @@
         }
         return;
     }
-    this->repeats += repeat ? 1 : 0;
     const leaf_id chosen = candidates[choice->index].target->id;
+    const decision kind = !repeat               ? decision::call_first
+                          : state.calls.empty() ? decision::call_retry
+                                                : decision::call_hedge;
+    this->repeats += repeat ? 1 : 0;
+    const target_health& health = *candidates[choice->index].health;
+    this->journal.add({kind, time, shard, chosen, choice->expected,
+                       health.outstanding(), health.report_age(time)});
     state.hedge_at = time + this->plan.hedge_after;
     this->start_call(shard, chosen);
 }
@@ -141,12 +154,23 @@
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::take_back_unsent(shard_state& state)
 {
-    const auto unsent = [](const auto& call) { return !call->on_wire; };
+    const auto unsent = [](const auto& call)
+    {
+        return !call->on_wire;
+    };
     for (const auto& call : state.calls)
     {
         if (unsent(call))
         {
             this->shared.targets.give_up(call, milliseconds(0));
+            this->journal.add(
+                {decision::taken_back,
+                 this->now(),
+                 static_cast<std::size_t>(&state - this->shards.data()),
+                 call->to,
+                 {},
+                 0,
+                 {}});
             --state.sends;
         }
     }
@@ -184,6 +208,7 @@
 {
     shard_state& state = this->shards[event.shard];
     std::erase(state.calls, event.call);
+    this->note_result(event);
     if (event.result.end == call_end::unsent)
     {
         --state.sends;
@@ -214,6 +239,18 @@
     this->retry_or_fail(event.shard);
 }
 
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::note_result(const shard_event& event)
+{
+    this->journal.add({to_decision(event.result),
+                       this->now(),
+                       event.shard,
+                       event.call ? event.call->to : leaf_id{},
+                       event.result.latency,
+                       event.result.reply.status,
+                       {}});
+}
+
 // A call of this shard failed: asks another replica while that is allowed.
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::retry_or_fail(std::size_t shard)
@@ -258,8 +295,7 @@
     }
     for (const shard_state& state : this->shards)
     {
-        if (!state.part && !state.failed &&
-            state.sends < this->rule.attempts)
+        if (!state.part && !state.failed && state.sends < this->rule.attempts)
         {
             next = std::min(next, state.hedge_at);
         }
@@ -280,8 +316,7 @@
     {
         for (const auto& call : state.calls)
         {
-            this->shared.targets.give_up(call,
-                                         gather_bounds::withdrawal_grace);
+            this->shared.targets.give_up(call, gather_bounds::withdrawal_grace);
         }
         state.calls.clear();
     }
@@ -309,7 +344,8 @@
         }
     }
     result.answer.missing = this->shards.size() - this->parts;
-    result.answer.records = merge_records(bodies, this->rule.gather.most_records);
+    result.answer.records =
+        merge_records(bodies, this->rule.gather.most_records);
     return result;
 }
 
--- /dev/null
+++ b/src/node/request/request_journal.cpp
@@ -0,0 +1,35 @@
+#include "node/request/request_journal.hpp"
+
+#include <array>
+
+namespace basilpath
+{
+
+std::string_view to_text(decision what)
+{
+    static constexpr std::array<std::string_view, 11> names = {
+        "call_first",  "call_hedge",    "call_retry",     "no_replica",
+        "no_budget",   "call_answered", "call_failed",    "call_not_executed",
+        "call_broken", "call_unsent",   "call_taken_back"};
+    return names.at(static_cast<std::size_t>(what));
+}
+
+decision to_decision(const target_result& result)
+{
+    switch (result.end)
+    {
+    case call_end::unsent:
+        return decision::unsent;
+    case call_end::broken:
+        return decision::broken;
+    case call_end::answered:
+        break;
+    }
+    if (result.reply.not_executed)
+    {
+        return decision::not_executed;
+    }
+    return result.reply.success() ? decision::answered : decision::failed;
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/request/request_journal.hpp
@@ -0,0 +1,109 @@
+/// The decisions on one request, kept until it is known whether they are
+/// wanted.
+#pragma once
+
+#include "node/request/target_call.hpp"
+#include "process/instant.hpp"
+#include "version/ids.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilpath
+{
+
+/// What was decided, or what came of it.
+enum class decision : std::uint8_t
+{
+    call_first,   ///< a call to the replica that is expected to answer first
+    call_hedge,   ///< a second replica, because the first is slow
+    call_retry,   ///< another replica, because a call failed
+    no_replica,   ///< no replica is left to ask
+    no_budget,    ///< the budget of repeats is spent
+    answered,     ///< a replica answered with success
+    failed,       ///< a replica answered with a failure
+    not_executed, ///< a replica did not run the call
+    broken,       ///< the connection ended without a whole answer
+    unsent,       ///< the call could not be sent
+    taken_back    ///< the call had not left when another replica was asked
+};
+
+[[nodiscard]] std::string_view to_text(decision what);
+
+/// What the result of a call means.
+[[nodiscard]] decision to_decision(const target_result& result);
+
+/// One decision with the inputs that it was made from.
+struct decision_record
+{
+    decision what = decision::call_first;
+    instant at{};
+
+    /// Number of the shard; zero where there are none.
+    std::size_t shard = 0;
+
+    leaf_id replica;
+
+    /// For a call: when the replica was expected to answer. For a result: how
+    /// long it took.
+    microseconds time{0};
+
+    /// For a call: calls of this host at the replica. For a result: status.
+    unsigned number = 0;
+
+    /// For a call: how old the replica's report of its load was.
+    milliseconds load_age{0};
+};
+
+/// What is said once of a request.
+struct request_summary
+{
+    request_id id;
+    std::string route;
+    document_number version;
+    instant arrived{};
+
+    /// How long the caller was prepared to wait, and had waited before.
+    milliseconds patience{0};
+    microseconds spent{0};
+
+    unsigned status = 0;
+    std::string outcome;
+    std::size_t parts = 0;
+    std::size_t shards = 0;
+    std::size_t repeats = 0;
+    microseconds took{0};
+
+    /// Refused, failed, late or with parts missing.
+    bool noteworthy = false;
+};
+
+/// Decisions in the order in which they were made. Formatted only when they
+/// are logged.
+class request_journal
+{
+public:
+    void add(decision_record one)
+    {
+        this->records.push_back(std::move(one));
+    }
+
+    [[nodiscard]] const std::vector<decision_record>& decisions() const
+    {
+        return this->records;
+    }
+
+    /// Makes room for what a request usually needs.
+    void reserve(std::size_t count)
+    {
+        this->records.reserve(count);
+    }
+
+private:
+    std::vector<decision_record> records;
+};
+
+} // namespace basilpath
--- a/src/node/request/request_services.hpp
+++ b/src/node/request/request_services.hpp
@@ -1,7 +1,9 @@
 /// What the sessions of one host share.
 #pragma once
 
+#include "node/process/node_metrics.hpp"
 #include "node/process/repeat_budget.hpp"
+#include "node/process/request_log.hpp"
 #include "node/request/target_transport.hpp"
 #include "process/runtime.hpp"
 
@@ -15,6 +17,8 @@
     Runtime& run;
     Transport& targets;
     repeat_budget& repeats;
+    request_log& log;
+    node_metrics& metrics;
 };
 
 } // namespace basilpath
--- a/src/node/request/target_transport.hpp
+++ b/src/node/request/target_transport.hpp
@@ -16,14 +16,15 @@
 /// Sends calls to replicas and knows how they fare; `target_pool` in the
 /// program, a scripted one in tests.
 template <class Transport>
-concept target_transport = requires(
-    Transport& transport, const service_name& service, const std::string& route,
-    const std::shared_ptr<target_call>& call, milliseconds grace) {
-    transport.candidates(service);
-    transport.send(call);
-    transport.give_up(call, grace);
-    transport.latency(route);
-    transport.domain();
-};
+concept target_transport =
+    requires(Transport& transport, const service_name& service,
+             const std::string& route, const std::shared_ptr<target_call>& call,
+             milliseconds grace) {
+        transport.candidates(service);
+        transport.send(call);
+        transport.give_up(call, grace);
+        transport.latency(route);
+        transport.domain();
+    };
 
 } // namespace basilpath
--- a/src/node/version/route_table.cpp
+++ b/src/node/version/route_table.cpp
@@ -32,11 +32,9 @@
     {
         return nullptr;
     }
-    const auto found = std::ranges::find_if(of_host->second,
-                                            [path](const route* one) {
-                                                return path.starts_with(
-                                                    one->prefix);
-                                            });
+    const auto found =
+        std::ranges::find_if(of_host->second, [path](const route* one)
+                             { return path.starts_with(one->prefix); });
     return found == of_host->second.end() ? nullptr : *found;
 }
 
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -1,6 +1,9 @@
 #include "process/log.hpp"
 
+#include "process/output_buffer.hpp"
+
 #include <fmt/chrono.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -27,6 +30,13 @@
     return name;
 }
 
+// Empty while lines go to standard error.
+std::optional<output_buffer>& buffered_output()
+{
+    static std::optional<output_buffer> buffer;
+    return buffer;
+}
+
 // Tells whether a character forces its value into quotes.
 bool needs_quotes(char c)
 {
@@ -75,6 +85,25 @@
     program_name() = name;
 }
 
+void use_buffered_output()
+{
+    buffered_output().emplace(STDOUT_FILENO);
+}
+
+void flush_log()
+{
+    if (auto& buffer = buffered_output())
+    {
+        buffer->flush();
+    }
+}
+
+std::uint64_t dropped_log_lines()
+{
+    const auto& buffer = buffered_output();
+    return buffer ? buffer->dropped() : 0;
+}
+
 std::string escape_log_value(std::string_view value)
 {
     if (!value.empty() && std::ranges::none_of(value, needs_quotes))
@@ -113,6 +142,11 @@
         line += escape_log_value(field.value);
     }
     line += '\n';
+    if (auto& buffer = buffered_output())
+    {
+        buffer->add(line, level >= log_level::warning);
+        return;
+    }
     fmt::print(stderr, "{}", line);
 }
 
--- a/src/process/log.hpp
+++ b/src/process/log.hpp
@@ -1,4 +1,5 @@
-/// Logs: one line of key=value pairs per event, on standard error.
+/// Logs: one line of key=value pairs per event, on standard error or standard
+/// output.
 #pragma once
 
 #include <fmt/format.h>
@@ -42,6 +43,17 @@
 /// Sets the program name that every line carries.
 void set_log_program(std::string_view name);
 
+/// Writes to standard output from now on, through a buffer of bounded size, and
+/// never waits for the reader: what does not fit is dropped and counted. Used
+/// by programs with one thread, which call `flush_log` now and then.
+void use_buffered_output();
+
+/// Writes what is buffered, as far as the reader takes it.
+void flush_log();
+
+/// Lines dropped because the reader of standard output did not keep up.
+[[nodiscard]] std::uint64_t dropped_log_lines();
+
 /// Returns `value`, in quotes with escapes when it holds a space, a quote, an
 /// equals sign, a backslash or a control character, or is empty.
 [[nodiscard]] std::string escape_log_value(std::string_view value);
