Tests of the node: decisions, sessions in virtual time, wire, sockets

Cause: the node had no tests of its own. Two failed first and were mended: a query whose shards have no replica sent calls before it was refused (502, now 503 and nothing sent), and one pause made a replica look slow for long.

--- a/src/node/connection/http_server.hpp
+++ b/src/node/connection/http_server.hpp
@@ -42,6 +42,12 @@
     /// Connections on which a request is being answered.
     [[nodiscard]] std::size_t busy_count() const;
 
+    /// Where it listens; tells the port when the address left it open.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint local_endpoint() const
+    {
+        return this->acceptor.local_endpoint();
+    }
+
     /// Open connections.
     [[nodiscard]] std::size_t connection_count() const;
 
--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -24,6 +24,11 @@
 
 } // namespace
 
+bool may_be_asked(const candidate& one)
+{
+    return !one.health->down() && !one.target->leaving;
+}
+
 std::optional<placement_choice>
 choose_replica(std::span<const candidate> candidates,
                const placement_query& query)
@@ -36,7 +41,7 @@
         const candidate& one = candidates[i];
         const bool asked =
             std::ranges::find(query.asked, one.target->id) != query.asked.end();
-        if (asked || one.health->down() || one.target->leaving)
+        if (asked || !may_be_asked(one))
         {
             continue;
         }
--- a/src/node/process/placement.hpp
+++ b/src/node/process/placement.hpp
@@ -24,6 +24,10 @@
     bool lapsed = false;
 };
 
+/// Tells whether a replica may be sent requests at all: it is not down and does
+/// not leave.
+[[nodiscard]] bool may_be_asked(const candidate& one);
+
 /// What a choice depends on.
 struct placement_query
 {
--- a/src/node/process/target_health.cpp
+++ b/src/node/process/target_health.cpp
@@ -15,6 +15,10 @@
 // Weight of one answer in the averages: about the last ten count.
 constexpr double answer_weight = 0.1;
 
+// Most by which one answer counts as slower than expected, so that a single
+// pause does not make a replica look slow for long.
+constexpr double most_slowness = 5.0;
+
 // A load report loses most of its meaning in this time: a request lasts some
 // ten milliseconds and the pace of a machine changes several times a second.
 constexpr microseconds load_memory = 150ms;
@@ -67,7 +71,7 @@
 
 void target_health::on_answer(instant now, microseconds latency,
                               microseconds usual,
-                              const std::optional<load_report>& load, bool good)
+                              const std::optional<replica_load>& load, bool good)
 {
     this->forget_oldest();
     this->last_sign = now;
@@ -85,7 +89,7 @@
     const double expected =
         std::max(1.0, static_cast<double>(usual.count())) * this->pace(now);
     const double ratio =
-        std::clamp(static_cast<double>(latency.count()) / expected, 0.1, 20.0);
+        std::clamp(static_cast<double>(latency.count()) / expected, 0.1, most_slowness);
     this->slowness += answer_weight * (ratio - this->slowness);
     this->service_us += answer_weight * (static_cast<double>(latency.count()) -
                                          this->service_us);
@@ -114,7 +118,7 @@
 }
 
 void target_health::on_probe(instant now, bool good,
-                             const std::optional<load_report>& load)
+                             const std::optional<replica_load>& load)
 {
     if (!good)
     {
@@ -190,7 +194,7 @@
     }
 }
 
-void target_health::take(const load_report& load, instant now)
+void target_health::take(const replica_load& load, instant now)
 {
     this->report = load;
     this->report_at = now;
--- a/src/node/process/target_health.hpp
+++ b/src/node/process/target_health.hpp
@@ -26,7 +26,7 @@
 
     /// A whole answer came; `usual` is what the route usually takes.
     void on_answer(instant now, microseconds latency, microseconds usual,
-                   const std::optional<load_report>& load, bool good);
+                   const std::optional<replica_load>& load, bool good);
 
     /// A request that had left got no whole answer.
     void on_broken(instant now);
@@ -39,7 +39,7 @@
 
     /// The replica answered a health check.
     void on_probe(instant now, bool good,
-                  const std::optional<load_report>& load);
+                  const std::optional<replica_load>& load);
 
     /// Expected time from now to the answer, when a request of a kind that
     /// usually takes `usual` is sent now.
@@ -94,7 +94,7 @@
 
 private:
     void note_failure(instant now, bool certain);
-    void take(const load_report& load, instant now);
+    void take(const replica_load& load, instant now);
     void forget_oldest();
     [[nodiscard]] double pace(instant now) const;
 
@@ -113,7 +113,7 @@
     /// Mean time of a request in a slot.
     double service_us = 0.0;
 
-    load_report report;
+    replica_load report;
     instant report_at{};
 
     /// Requests of other hosts that the report implies.
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -4,6 +4,7 @@
 #include "node/connection/target_connection.hpp"
 #include "node/process/call_queue.hpp"
 #include "node/process/placement.hpp"
+#include "node/process/route_latency.hpp"
 #include "node/process/target_health.hpp"
 #include "node/request/target_call.hpp"
 #include "node/version/replica.hpp"
@@ -23,15 +24,6 @@
 namespace basilpath
 {
 
-/// What a route's calls to replicas have lately taken.
-struct route_latency
-{
-    microseconds usual{0};
-
-    /// A call that has taken longer than this is likely to be a straggler.
-    microseconds slow{0};
-};
-
 /// The transport of sessions to replicas. Keeps this host's share of each
 /// replica's connections, and queues calls when all of them are busy. Used on
 /// one thread.
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -94,6 +94,7 @@
         target_result result;
     };
 
+    [[nodiscard]] std::size_t shards_with_replica() const;
     void ask(std::size_t shard);
     [[nodiscard]] bool is_repeat(const shard_state& state) const;
     void take_back_unsent(shard_state& state);
@@ -120,7 +121,6 @@
     std::size_t parts = 0;
     std::size_t failures = 0;
     std::size_t repeats = 0;
-    bool any_sent = false;
     mailbox<Runtime, shard_event> events;
 };
 
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -43,7 +43,13 @@
             }
         });
 
-    // Step 1. Ask one replica of each shard.
+    // Step 1. Refuse at once when too few shards have a replica.
+    if (this->shards_with_replica() < this->needed)
+    {
+        co_return this->conclude(gather_end::not_attempted);
+    }
+
+    // Step 2. Ask one replica of each shard.
     this->usual = this->shared.targets.latency(this->rule.name).usual;
     for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
     {
@@ -53,11 +59,10 @@
     }
     if (this->out_of_reach())
     {
-        co_return this->conclude(this->any_sent ? gather_end::out_of_reach
-                                                : gather_end::not_attempted);
+        co_return this->conclude(gather_end::out_of_reach);
     }
 
-    // Step 2. Take what comes, ask again where it pays.
+    // Step 3. Take what comes, ask again where it pays.
     while (true)
     {
         const auto until = this->next_wake(this->now());
@@ -94,6 +99,19 @@
     }
 }
 
+// Counts the shards of which some replica may be asked now.
+template <runtime Runtime, target_transport Transport>
+std::size_t gather_session<Runtime, Transport>::shards_with_replica() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->rule.gather.shards,
+        [this](const service_name& service)
+        {
+            return std::ranges::any_of(this->shared.targets.candidates(service),
+                                       may_be_asked);
+        }));
+}
+
 // Sends the query to the best replica of a shard that has not been asked.
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::ask(std::size_t shard)
@@ -199,7 +217,6 @@
     state.asked.push_back(to);
     ++state.sends;
     state.calls.push_back(call);
-    this->any_sent = true;
     this->shared.targets.send(call);
 }
 
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -16,7 +16,7 @@
 {
 
 /// What a replica says of its load; old by the time it arrives.
-struct load_report
+struct replica_load
 {
     unsigned running = 0;
     unsigned waiting = 0;
@@ -44,7 +44,7 @@
     /// The replica did not run the request and will not.
     bool not_executed = false;
 
-    std::optional<load_report> load;
+    std::optional<replica_load> load;
 
     /// How long the replica keeps an idle connection, if it says so.
     std::optional<milliseconds> keeps_idle;
--- a/src/node/request/target_transport.hpp
+++ b/src/node/request/target_transport.hpp
@@ -2,13 +2,14 @@
 #pragma once
 
 #include "node/process/placement.hpp"
-#include "node/process/repeat_budget.hpp"
+#include "node/process/route_latency.hpp"
 #include "node/request/target_call.hpp"
 #include "node/version/route.hpp"
 
 #include <concepts>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace basilpath
 {
--- /dev/null
+++ b/test/node_gather_test.cpp
@@ -0,0 +1,233 @@
+#include "golden.hpp"
+#include "node_session_fixture.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace
+{
+
+using namespace basilpath;
+using namespace basilpath::test;
+
+// Calls that the record shows for a replica.
+std::size_t calls_of(const scripted_targets& targets, const std::string& id)
+{
+    const std::string wanted = "  call " + id + "\n";
+    std::size_t count = 0;
+    for (auto at = targets.record.text.find(wanted); at != std::string::npos;
+         at = targets.record.text.find(wanted, at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+TEST_CASE("golden: a query over shards is answered whole")
+{
+    node_session_fixture node;
+    node.start("/all/x");
+    node.run.run_until(2s);
+    check_golden("node-gather-whole.txt", node.targets.record.text);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 200);
+    CHECK(node.replies[0].body.size() == 4 * 16);
+    CHECK(node.replies[0].missing_parts == 0);
+}
+
+TEST_CASE("golden: a replica that pauses is hedged and its call given up")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value,
+                           call.to.value == "s2-a" ? 120ms : 5ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(2s);
+    check_golden("node-gather-hedge.txt", node.targets.record.text);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].missing_parts == 0);
+    CHECK(node.answered_at[0] < 100ms);
+}
+
+TEST_CASE("what is in is answered just before the objective")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        const bool slow = call.to.value.starts_with("s2");
+        return good_answer(call.to.value, slow ? 700ms : 5ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 200);
+    CHECK(node.replies[0].missing_parts == 1);
+    CHECK(node.replies[0].part_signatures.size() == 3);
+    CHECK(node.answered_at[0] < 100ms);
+    CHECK(node.answered_at[0] > 90ms);
+}
+
+TEST_CASE("the time of earlier attempts counts against the objective")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        const bool slow = call.to.value.starts_with("s2");
+        return good_answer(call.to.value, slow ? 700ms : 5ms);
+    };
+    node.start("/all/x", 1500ms);
+    node.run.run_until(2s);
+    // A second attempt of a caller that has waited 60 ms already.
+    node.start("/all/x", 1440ms);
+    node.run.run_until(4s);
+    REQUIRE(node.replies.size() == 2);
+    CHECK(node.answered_at[1] - 2s < 40ms);
+}
+
+TEST_CASE("too few parts are not answered at the objective, but when they are "
+          "enough")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        const bool slow =
+            call.to.value.starts_with("s2") || call.to.value.starts_with("s3");
+        return good_answer(call.to.value, slow ? 300ms : 5ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 200);
+    CHECK(node.answered_at[0] >= 300ms);
+    CHECK(node.answered_at[0] < 400ms);
+}
+
+TEST_CASE("a query that cannot reach its coverage ends at once")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        const bool broken =
+            call.to.value.starts_with("s2") || call.to.value.starts_with("s3");
+        return broken ? shed() : good_answer(call.to.value, 50ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 502);
+    CHECK(node.replies[0].retry_after.has_value());
+    CHECK(node.answered_at[0] < 10ms);
+}
+
+TEST_CASE("a query whose shards have no replica is refused as not run")
+{
+    node_session_fixture node;
+    for (const char* const id : {"s1-a", "s1-b", "s2-a", "s2-b"})
+    {
+        node.targets.health(id).on_refused(scripted_targets::now());
+    }
+    // Two of four shards are down before the query begins.
+    std::set<std::string> asked;
+    node.targets.behave = [&asked](const target_call& call, std::size_t)
+    {
+        asked.insert(call.to.value);
+        return good_answer(call.to.value);
+    };
+    node.start("/all/x");
+    node.run.run_until(1s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.answered_at[0] == 0ms);
+    CHECK(asked.empty());
+    CHECK(node.replies[0].status == 503);
+}
+
+TEST_CASE("a failure of a leaf is no part, though it is signed")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return call.to.value == "s1-a" ? failure(500)
+                                       : good_answer(call.to.value);
+    };
+    node.start("/all/x");
+    node.run.run_until(1s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(std::ranges::count(node.replies[0].part_signatures, "sig-failure") ==
+          0);
+    CHECK(node.replies[0].missing_parts == 0);
+    CHECK(calls_of(node.targets, "s1-b") == 1);
+}
+
+TEST_CASE("no shard is asked of more replicas than the route allows")
+{
+    node_session_fixture node;
+    node.targets.add("s0-c", "s0", "a");
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return call.to.value.starts_with("s0") ? failure(500)
+                                               : good_answer(call.to.value);
+    };
+    node.start("/all/x");
+    node.run.run_until(1s);
+    CHECK(calls_of(node.targets, "s0-a") + calls_of(node.targets, "s0-b") +
+              calls_of(node.targets, "s0-c") ==
+          2);
+}
+
+TEST_CASE("a caller that leaves ends the calls of its query")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, 400ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(5ms);
+    node.caller->leave();
+    node.run.run_until(6ms);
+    CHECK(node.replies.size() == 1);
+    for (const char* const id : {"s0-a", "s1-a", "s2-a", "s3-a"})
+    {
+        CHECK(node.targets.record.text.find(std::string("give up ") + id) !=
+              std::string::npos);
+    }
+}
+
+TEST_CASE("a caller that has left before its query begins starts no work that "
+          "stays")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, 400ms);
+    };
+    node.start("/one/x");
+    node.caller->leave();
+    node.run.run_until(1ms);
+    CHECK(node.replies.size() == 1);
+}
+
+TEST_CASE("repeats stay within the budget when every replica is slow")
+{
+    node_session_fixture node;
+    node.budget.set_host_count(2);
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, 200ms);
+    };
+    for (int i = 0; i < 200; ++i)
+    {
+        node.run.run_until(i * 20ms);
+        node.start("/all/x");
+    }
+    node.run.run_until(8s);
+    const std::size_t calls =
+        calls_of(node.targets, "s0-a") + calls_of(node.targets, "s0-b");
+    // 200 requests: a fifth of them and half of the slack at the most.
+    CHECK(calls <= 200 + 40 + 5);
+    CHECK(calls > 200);
+}
+
+} // namespace
--- /dev/null
+++ b/test/node_http_test.cpp
@@ -0,0 +1,215 @@
+#include "node/connection/http_server.hpp"
+#include "process/output_buffer.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+
+namespace
+{
+
+using namespace basilpath;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+/// A server whose handler answers with the target of the request after a
+/// while, and one caller.
+struct server_fixture
+{
+    server_fixture()
+        : server(context, "127.0.0.1:0",
+                 [this](std::shared_ptr<http_request> request,
+                        std::shared_ptr<caller_presence> presence)
+                 { return this->answer(request, presence); }),
+          caller(context)
+    {
+        this->server.start();
+        this->caller.connect(this->server.local_endpoint());
+        this->caller.non_blocking(true);
+    }
+
+    asio::awaitable<http_response>
+    answer(std::shared_ptr<http_request> request,
+           std::shared_ptr<caller_presence> presence)
+    {
+        ++this->handled;
+        presence->on_gone([this] { this->gone = true; });
+        asio::steady_timer timer(this->context);
+        timer.expires_after(this->delay);
+        co_await timer.async_wait(asio::use_awaitable);
+        http_response response(boost::beast::http::status::ok, 11);
+        response.body() = std::string(request->target());
+        co_return response;
+    }
+
+    void send(const std::string& text)
+    {
+        asio::write(this->caller, asio::buffer(text));
+    }
+
+    // What the caller has got once `done` holds, or after some seconds.
+    template <class Condition>
+    std::string receive(Condition done)
+    {
+        for (int i = 0; i < 5000 && !done(); ++i)
+        {
+            this->context.run_for(1ms);
+            std::array<char, 4096> space{};
+            boost::system::error_code error;
+            const auto count =
+                this->caller.read_some(asio::buffer(space), error);
+            this->got.append(space.data(), count);
+            this->closed = this->closed || error == asio::error::eof ||
+                           error == asio::error::connection_reset;
+        }
+        return this->got;
+    }
+
+    std::string receive_text(const std::string& text)
+    {
+        return this->receive(
+            [this, &text] {
+                return this->closed ||
+                       this->got.find(text) != std::string::npos;
+            });
+    }
+
+    asio::io_context context;
+    milliseconds delay{0};
+    int handled = 0;
+    bool gone = false;
+    bool closed = false;
+    std::string got;
+    node_http_server server;
+    asio::ip::tcp::socket caller;
+};
+
+TEST_CASE("two requests in one segment are answered in order")
+{
+    server_fixture node;
+    node.send("GET /one HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /two HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string got = node.receive_text("/two");
+    CHECK(got.find("/one") < got.find("/two"));
+    CHECK(node.handled == 2);
+}
+
+TEST_CASE("a body in chunks is read whole")
+{
+    server_fixture node;
+    node.send("POST /chunks HTTP/1.1\r\nHost: h\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n"
+              "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(node.receive_text("/next").find("/next") != std::string::npos);
+    CHECK(node.handled == 2);
+}
+
+TEST_CASE("a request inside another one's length is not taken for a request")
+{
+    server_fixture node;
+    node.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+              "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string got = node.receive([&node] { return node.closed; });
+    CHECK(got.find("400") != std::string::npos);
+    CHECK(node.handled == 0);
+}
+
+TEST_CASE("what is malformed or too large is refused and the connection ended")
+{
+    server_fixture node;
+    const auto [sent, status] = GENERATE(table<std::string, std::string>(
+        {{"nonsense\r\n\r\n", " 400 "},
+         {"GET / HTTP/1.1\r\nX: " + std::string(40'000, 'x') + "\r\n\r\n",
+          " 431 "},
+         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n",
+          " 413 "}}));
+    node.send(sent);
+    const std::string got = node.receive([&node] { return node.closed; });
+    CHECK(got.find(status) != std::string::npos);
+    CHECK(node.handled == 0);
+    CHECK(node.closed);
+}
+
+TEST_CASE("a caller that leaves is noticed while it is answered")
+{
+    server_fixture node;
+    node.delay = 30s;
+    node.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    node.receive([&node] { return node.handled == 1; });
+    node.caller.close();
+    for (int i = 0; i < 5000 && !node.gone; ++i)
+    {
+        node.context.run_for(1ms);
+    }
+    CHECK(node.gone);
+}
+
+TEST_CASE("a server that drains answers what it has read and says that it "
+          "closes")
+{
+    server_fixture node;
+    node.delay = 20ms;
+    node.send("GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
+    node.receive([&node] { return node.handled == 1; });
+    node.server.start_draining();
+    const std::string got = node.receive([&node] { return node.closed; });
+    CHECK(got.find("/last") != std::string::npos);
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(node.closed);
+}
+
+TEST_CASE("idle connections are closed, those with a request are not")
+{
+    server_fixture node;
+    node.delay = 50ms;
+    node.send("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n");
+    node.receive([&node] { return node.handled == 1; });
+    node.server.close_idle();
+    CHECK(node.receive_text("/busy").find("/busy") != std::string::npos);
+    CHECK_FALSE(node.closed);
+    node.server.close_idle();
+    node.receive([&node] { return node.closed; });
+    CHECK(node.closed);
+}
+
+TEST_CASE("logs never wait for a reader that does not read")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe(ends.data()) == 0);
+    output_buffer buffer(ends[1]);
+    const std::string line(1000, 'x');
+    for (int i = 0; i < 2000; ++i)
+    {
+        buffer.add(line + "\n", false);
+    }
+    // The pipe and the buffer are full; the rest was dropped and counted.
+    CHECK(buffer.dropped() > 0);
+    std::string read(1'000'000, '\0');
+    ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    CHECK(::read(ends[0], read.data(), read.size()) > 0);
+    buffer.flush();
+    buffer.add("after\n", true);
+    std::string all;
+    for (auto count = ::read(ends[0], read.data(), read.size()); count > 0;
+         count = ::read(ends[0], read.data(), read.size()))
+    {
+        all.append(read.data(), static_cast<std::size_t>(count));
+        buffer.flush();
+    }
+    CHECK(all.find("event=log_lines_dropped") != std::string::npos);
+    CHECK(all.find("after\n") != std::string::npos);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+} // namespace
--- /dev/null
+++ b/test/node_target_test.cpp
@@ -0,0 +1,273 @@
+#include "leaf_codec.hpp"
+#include "node/process/target_pool.ipp"
+#include "raw_server.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <optional>
+
+namespace
+{
+
+using namespace basilpath;
+using namespace basilpath::test;
+using namespace std::chrono_literals;
+
+/// A pool with one replica, which is a scripted server on loopback.
+struct pool_fixture
+{
+    explicit pool_fixture(raw_server::behaviour behave)
+        : server(context, std::move(behave)), pool(context, failure_domain("a"))
+    {
+        this->pool.start();
+        this->pool.set_host_count(1, 1);
+        this->pool.set_routes(std::make_shared<const route_table>(
+            document_number(1), std::vector<route>{},
+            std::map<service_name, service_rule>{
+                {service_name("s"), {"/health", 4}}},
+            caller_limits{}));
+        replica one;
+        one.id = leaf_id("i-1");
+        one.service = service_name("s");
+        one.address = http_address(this->server.address());
+        one.slots = 4;
+        this->pool.set_replica(one);
+    }
+
+    std::shared_ptr<target_call>
+    start(const std::string& id, bool fresh = false, microseconds patience = 2s)
+    {
+        auto query = std::make_shared<caller_query>();
+        query->method = "GET";
+        query->target = "/x";
+        query->id = request_id(id);
+        query->headers = {{"Host", "h"}, {"X-Request-Id", id}};
+        const auto call = std::make_shared<target_call>();
+        call->query = query;
+        call->to = leaf_id("i-1");
+        call->route = "r";
+        call->fresh = fresh;
+        call->deadline =
+            to_instant(std::chrono::steady_clock::now()) + patience;
+        call->useful_until = call->deadline;
+        call->done = [this](target_result result)
+        {
+            this->results.push_back(std::move(result));
+        };
+        this->pool.send(call);
+        return call;
+    }
+
+    // Runs until there are this many results, for some seconds at the most.
+    void await_results(std::size_t count)
+    {
+        this->run([this, count] { return this->results.size() >= count; });
+    }
+
+    template <class Condition>
+    void run(Condition done)
+    {
+        for (int i = 0; i < 5000 && !done(); ++i)
+        {
+            this->context.run_for(2ms);
+        }
+    }
+
+    boost::asio::io_context context;
+    raw_server server;
+    target_pool<platform::leaf_codec> pool;
+    std::vector<target_result> results;
+};
+
+std::string answer(const std::string& body, const std::string& id = "",
+                   const std::string& more = "")
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Response-Signature: sig\r\n{}{}"
+                       "Content-Length: {}\r\n\r\n{}",
+                       id.empty() ? "" : "X-Request-Id: " + id + "\r\n", more,
+                       body.size(), body);
+}
+
+TEST_CASE("calls are answered and share a connection")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{answer("body")}; });
+    node.start("one");
+    node.await_results(1);
+    node.start("two");
+    node.await_results(2);
+    REQUIRE(node.results.size() == 2);
+    CHECK(node.results[1].reply.body == "body");
+    CHECK(node.server.connections == 1);
+}
+
+TEST_CASE("an answer to an earlier request is not taken for this one's")
+{
+    pool_fixture node(
+        [](const std::string&, std::size_t)
+        { return raw_action{answer("stale", "old") + answer("mine", "one")}; });
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::answered);
+    CHECK(node.results[0].reply.body == "mine");
+    // The connection is not used again.
+    node.start("two");
+    node.run([&node] { return node.server.connections >= 2; });
+    CHECK(node.server.connections >= 2);
+}
+
+TEST_CASE("bytes after an answer end the connection and reach nobody")
+{
+    pool_fixture node(
+        [](const std::string& read, std::size_t connection)
+        {
+            return connection == 0
+                       ? raw_action{answer("mine") + answer("extra")}
+                       : raw_action{answer(read.find("two") != std::string::npos
+                                               ? "second"
+                                               : "other")};
+        });
+    node.start("one");
+    node.await_results(1);
+    node.start("two");
+    node.await_results(2);
+    REQUIRE(node.results.size() == 2);
+    CHECK(node.results[0].reply.body == "mine");
+    CHECK(node.results[1].reply.body == "second");
+}
+
+TEST_CASE("an answer that ends early, or is reset, is no answer")
+{
+    const bool reset = GENERATE(false, true);
+    pool_fixture node(
+        [reset](const std::string&, std::size_t)
+        {
+            return raw_action{"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+                              "Content-Length: 100\r\n\r\nhalf",
+                              true, reset};
+        });
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+}
+
+TEST_CASE("an answer without a length is whole when its connection ends in "
+          "order, and not when it is reset")
+{
+    const bool reset = GENERATE(false, true);
+    pool_fixture node(
+        [reset](const std::string&, std::size_t)
+        {
+            return raw_action{
+                "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n\r\nwhole", true,
+                reset};
+        });
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    if (reset)
+    {
+        CHECK(node.results[0].end == call_end::broken);
+    }
+    else
+    {
+        CHECK(node.results[0].end == call_end::answered);
+        CHECK(node.results[0].reply.body == "whole");
+    }
+}
+
+TEST_CASE("bytes that are no answer end the call as broken")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{"nonsense\r\n\r\n"}; });
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+}
+
+TEST_CASE("a call that is given up has its connection closed")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{}; });
+    const auto call = node.start("one");
+    node.run([&node] { return !node.server.reads.empty(); });
+    node.pool.give_up(call, 0ms);
+    node.run([&node] { return node.server.ended > 0; });
+    CHECK(node.server.ended == 1);
+    CHECK(node.results.empty());
+}
+
+TEST_CASE("a call that waits and is given up never leaves")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{}; });
+    std::vector<std::shared_ptr<target_call>> calls;
+    for (int i = 0; i < 8; ++i)
+    {
+        calls.push_back(node.start(fmt::format("call-{}", i)));
+    }
+    node.run([&node] { return node.server.reads.size() >= 4; });
+    std::size_t waiting = 0;
+    for (const auto& call : calls)
+    {
+        waiting += call->on_wire ? 0 : 1;
+        node.pool.give_up(call, 0ms);
+    }
+    CHECK(waiting == 4);
+    node.run([&node] { return node.server.ended >= 4; });
+    CHECK(node.server.reads.size() == 4);
+    // Never more connections than this host's share.
+    CHECK(node.server.connections <= 5);
+}
+
+TEST_CASE("a call to a replica that is not there is unsent, and it is down")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{answer("x")}; });
+    replica gone;
+    gone.id = leaf_id("i-1");
+    gone.service = service_name("s");
+    // Port 1 of loopback has no listener.
+    gone.address = http_address("127.0.0.1:1");
+    node.pool.set_replica(gone);
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::unsent);
+    CHECK(node.pool.candidates(service_name("s"))[0].health->down());
+}
+
+TEST_CASE("a replica that answers as another one is forgotten")
+{
+    pool_fixture node(
+        [](const std::string&, std::size_t)
+        {
+            return raw_action{"HTTP/1.1 421 Misdirected Request\r\n"
+                              "X-Instance-Id: i-2\r\nContent-Length: 0\r\n"
+                              "\r\n"};
+        });
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].reply.not_executed);
+    CHECK(node.pool.candidates(service_name("s")).empty());
+}
+
+TEST_CASE("a replica off the list is kept for a while, then it is gone")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{answer("x")}; });
+    node.pool.drop_replica(leaf_id("i-1"), 50ms);
+    REQUIRE(node.pool.candidates(service_name("s")).size() == 1);
+    CHECK(node.pool.candidates(service_name("s"))[0].lapsed);
+    node.run([&node]
+             { return node.pool.candidates(service_name("s")).empty(); });
+    CHECK(node.pool.candidates(service_name("s")).empty());
+}
+
+} // namespace
--- a/test/scripted_leaves.hpp
+++ b/test/scripted_leaves.hpp
@@ -4,6 +4,7 @@
 #include "connection/leaf_state.hpp"
 #include "process/relay.hpp"
 #include "process/system_state.hpp"
+#include "session_record.hpp"
 #include "version/index_version.hpp"
 #include "virtual_runtime.hpp"
 
@@ -21,20 +22,6 @@
 
 using namespace std::chrono_literals;
 
-/// What happened in a session, one line an event with its virtual time.
-class session_record
-{
-public:
-    void add(const std::string& event)
-    {
-        const auto now = virtual_clock::now().time_since_epoch().count();
-        this->text += fmt::format("{:>9.3f} ms  {}\n",
-                                  static_cast<double>(now) / 1000.0, event);
-    }
-
-    std::string text;
-};
-
 /// One call as a leaf sees it.
 struct scripted_call
 {
--- /dev/null
+++ b/test/scripted_targets.hpp
@@ -0,0 +1,191 @@
+/// Replicas that follow a script in virtual time: a transport for the sessions
+/// of a node.
+#pragma once
+
+#include "node/process/placement.hpp"
+#include "node/process/target_health.hpp"
+#include "node/request/target_transport.hpp"
+#include "node/version/route_table.hpp"
+#include "session_record.hpp"
+#include "virtual_runtime.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace basilpath::test
+{
+
+using namespace std::chrono_literals;
+
+/// What a replica does with a call.
+struct target_script
+{
+    microseconds after{5'000};
+    target_result result;
+};
+
+/// A replica that answers with success and one record.
+inline target_script good_answer(const std::string& replica,
+                                 microseconds after = 5ms)
+{
+    target_result result;
+    result.end = call_end::answered;
+    result.reply.status = 200;
+    result.reply.signature = "sig-" + replica;
+    result.reply.body = fmt::format("{:<16}", replica).substr(0, 16);
+    result.latency = after;
+    return {after, std::move(result)};
+}
+
+/// A replica that says that it did not run the call.
+inline target_script shed(microseconds after = 1ms)
+{
+    target_result result;
+    result.end = call_end::answered;
+    result.reply.status = 503;
+    result.reply.not_executed = true;
+    result.latency = after;
+    return {after, std::move(result)};
+}
+
+/// A replica that runs the call and fails.
+inline target_script failure(unsigned status, microseconds after = 1ms)
+{
+    target_result result;
+    result.end = call_end::answered;
+    result.reply.status = status;
+    result.reply.signature = "sig-failure";
+    result.reply.body = "failure";
+    result.latency = after;
+    return {after, std::move(result)};
+}
+
+/// A call that ends without an answer.
+inline target_script lost(call_end end, microseconds after = 1ms)
+{
+    target_result result;
+    result.end = end;
+    result.latency = after;
+    return {after, std::move(result)};
+}
+
+/// A `target_transport`. Records what is sent and what is given up.
+class scripted_targets
+{
+public:
+    using script =
+        std::function<target_script(const target_call& call, std::size_t sent)>;
+
+    explicit scripted_targets(virtual_runtime& run) : run(run) {}
+
+    /// Adds a replica of a service.
+    void add(const std::string& id, const std::string& service,
+             const std::string& domain = "a")
+    {
+        replica one;
+        one.id = leaf_id(id);
+        one.service = service_name(service);
+        one.domain = failure_domain(domain);
+        one.slots = 2;
+        this->replicas.push_back(std::make_unique<held>(
+            held{one, target_health(2, milliseconds(0), now())}));
+    }
+
+    [[nodiscard]] std::vector<candidate>
+    candidates(const service_name& service) const
+    {
+        std::vector<candidate> found;
+        for (const auto& one : this->replicas)
+        {
+            if (one->target.service == service)
+            {
+                found.push_back({&one->target, &one->health, false});
+            }
+        }
+        return found;
+    }
+
+    void send(const std::shared_ptr<target_call>& call)
+    {
+        call->sent = now();
+        const target_script next = this->behave(*call, this->sent++);
+        this->record.add("call " + call->to.value);
+        call->on_wire = next.result.end != call_end::unsent;
+        boost::asio::co_spawn(this->run.executor(), this->finish(call, next),
+                              boost::asio::detached);
+    }
+
+    void give_up(const std::shared_ptr<target_call>& call, milliseconds)
+    {
+        call->given_up = true;
+        call->done = nullptr;
+        this->record.add("give up " + call->to.value);
+    }
+
+    [[nodiscard]] route_latency latency(const std::string&) const
+    {
+        return this->usual;
+    }
+
+    [[nodiscard]] const failure_domain& domain() const
+    {
+        return this->own_domain;
+    }
+
+    target_health& health(const std::string& id)
+    {
+        return (*std::ranges::find_if(this->replicas, [&id](const auto& one)
+                                      { return one->target.id.value == id; }))
+            ->health;
+    }
+
+    static instant now()
+    {
+        return to_instant(virtual_clock::now());
+    }
+
+    session_record record;
+    script behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value);
+    };
+    route_latency usual{10ms, 20ms};
+    std::size_t sent = 0;
+
+private:
+    /// A replica with what is known of it.
+    struct held
+    {
+        replica target;
+        target_health health;
+    };
+
+    boost::asio::awaitable<void> finish(std::shared_ptr<target_call> call,
+                                        target_script next)
+    {
+        virtual_runtime::timer timer(this->run.executor());
+        timer.expires_after(next.after);
+        co_await timer.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (call->done)
+        {
+            const auto done = std::exchange(call->done, nullptr);
+            done(next.result);
+        }
+    }
+
+    virtual_runtime& run;
+    failure_domain own_domain{"a"};
+    std::vector<std::unique_ptr<held>> replicas;
+};
+
+} // namespace basilpath::test
