Soak of the real program, settings reload, paced watches

Change: soak/ runs the program as separate processes beside stand-ins of store, leafs and callers with faults by the seed and checks what callers and leafs see; the node takes changed settings by SIGHUP and by itself; two watches start at least 0.3 s apart; callers are asked to wait longer where there is no configuration. The checks of mixed answers, doubled runs, repeats and late work are proved by planted faults.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,185 @@
+"""Callers of the nodes, who check each answer that they get."""
+
+import asyncio
+import json
+import random
+import time
+
+from platform_standin import read_body, read_head
+
+VERSION_SLACK_S = 0.25
+
+
+class Callers:
+    """Keep connections, ask the directory, send requests and judge answers."""
+
+    def __init__(self, world):
+        self.world = world
+        self.counts = {}
+        self.answers = {}
+        self.newest = {}
+        self.number = 0
+
+    async def call(self, ip, port, lines, body=b"", pool=None, patience=3.0):
+        """Status, headers, body; None with a reason when there is no answer."""
+        key = (ip, port)
+        kept = pool.pop(key, None) if pool is not None else None
+        sent = False
+        try:
+            reader, writer = kept or await asyncio.wait_for(
+                asyncio.open_connection(ip, port), 1.0)
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            sent = True
+            head = await asyncio.wait_for(read_head(reader), patience)
+            if head is None:
+                return None, "closed" if kept is None else "closed-kept"
+            answer = await asyncio.wait_for(read_body(reader, head[1]), patience)
+            if pool is not None and head[1].get("connection", "").lower() != "close":
+                pool[key] = (reader, writer)
+            else:
+                writer.close()
+            return (int(head[0][1]), head[1], answer), ""
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as failed:
+            name = type(failed).__name__
+            return None, f"{name} {'after' if sent else 'before'} sending"
+
+    async def resolve(self, rng):
+        nodes = self.world.nodes[:]
+        rng.shuffle(nodes)
+        for node in nodes[:3]:
+            answer, _ = await self.call(
+                node.ip, self.world.port + 3,
+                [f"GET /resolve?name=h&region=r&zone={rng.choice('ab')} HTTP/1.1", "Host: d"],
+                patience=1.0)
+            if answer and answer[0] == 200:
+                return [one.split(":")[0] for one in json.loads(answer[2])["addrs"]]
+        return []
+
+    async def await_ready(self):
+        rng = random.Random(0)
+        for _ in range(200):
+            if len(await self.resolve(rng)) >= 2:
+                await asyncio.sleep(1.0)
+                return
+            await asyncio.sleep(0.1)
+        self.world.broken("start", "no directory named hosts within 20 s")
+
+    async def run(self, caller, until):
+        rng = random.Random(f"{self.world.seed}/{caller}")
+        pool, known, asked_at = {}, [], 0.0
+        while time.monotonic() < until:
+            if not known or time.monotonic() - asked_at > 2.0:
+                known = await self.resolve(rng) or known
+                asked_at = time.monotonic()
+            if known:
+                await self.one(rng, rng.choice(known), pool)
+            await asyncio.sleep(rng.uniform(0.0, 0.06))
+
+    async def one(self, rng, ip, pool):
+        kind = rng.choices(["all", "one", "order", "version"], [5, 2, 2, 2])[0]
+        self.number += 1
+        request = f"{self.world.seed:x}-{self.number:x}"
+        body = request.encode() if kind == "order" else b""
+        method = "POST" if kind == "order" else "GET"
+        lines = [f"{method} /{kind}/{request} HTTP/1.1", "Host: h", f"X-Request-Id: {request}",
+                 "X-Deadline-Ms: 1500"]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        sent = time.monotonic()
+        node = next(one for one in self.world.nodes if one.ip == ip)
+        answer, why = await self.call(ip, self.world.port, lines, body, pool)
+        outcome = str(answer[0]) if answer else why
+        self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
+        self.answers[request] = (kind, answer[0] if answer else None)
+        if answer is None:
+            cut = "closed" == why or "after" in why
+            if cut and self.world.args.planned and self.world.runs.get(request):
+                self.world.broken("lost", f"{request} at {ip}: {why}")
+            return
+        status, headers, content = answer
+        if status == 200:
+            self.check_answer(kind, request, headers, content)
+            if kind == "version":
+                self.check_version(node, request, sent)
+
+    def check_answer(self, kind, request, headers, content):
+        world = self.world
+        runs = world.runs.get(request, [])
+        by_signature = {}
+        for service, leaf, method, target, body in runs:
+            signer = next((one for one in world.leafs if one.id == leaf), None)
+            by_signature[self.signature(request, leaf)] = service
+            if target != f"/{kind}/{request}":
+                world.broken("changed", f"{request} ran as {method} {target}")
+            del signer
+        if kind != "all":
+            signature = headers.get("x-response-signature", "")
+            service = by_signature.get(signature)
+            if service is None or content != world.records(request, service):
+                world.broken("mixed", f"{request}: {signature} {content[:20]!r}")
+            return
+        stamps = [one.strip() for one in headers.get("x-part-stamps", "").split(",")]
+        services = [by_signature.get(one) for one in stamps]
+        missing = int(headers.get("x-missing-parts", "0"))
+        if None in services or len(set(services)) != len(services):
+            world.broken("mixed", f"{request}: parts {services} {stamps}")
+            return
+        fits = [one for one in world.shard_sets.values()
+                if set(services) <= one and len(services) + missing == len(one)]
+        if not fits or len(services) < 0.6 * (len(services) + missing):
+            world.broken("coverage", f"{request}: {services} and {missing} missing")
+        records = []
+        for service in services:
+            part = world.records(request, service)
+            records += [part[at:at + 16] for at in range(0, len(part), 16)]
+        if content != b"".join(sorted(records, reverse=True)[:6]):
+            world.broken("mixed", f"{request}: the records are not the greatest of its parts")
+
+    def signature(self, request, leaf):
+        import hashlib
+        return hashlib.sha256(f"{request}/{leaf}/{self.world.seed}".encode()).hexdigest()[:16]
+
+    def check_version(self, node, request, sent):
+        """A process never serves by an older version than it has served by."""
+        runs = self.world.runs.get(request, [])
+        if not runs:
+            return
+        seen = int(runs[0][0][1:])
+        key = (node.ip, node.process.pid)
+        newest, since = self.newest.get(key, (None, 0.0))
+        if newest is not None and seen != newest and (newest - seen) % 4 == 1:
+            if sent > since + VERSION_SLACK_S:
+                self.world.broken("version", f"{request} at {node.ip} ran at v{seen} after "
+                                             f"v{newest}")
+            return
+        if seen != newest:
+            self.newest[key] = (seen, time.monotonic())
+
+    def check_once(self):
+        for request, (kind, status) in self.answers.items():
+            runs = self.world.runs.get(request, [])
+            if kind == "order" and len(runs) > 1:
+                self.world.broken("twice", f"{request} ran {len(runs)} times")
+            if kind == "order" and status in (429, 503) and runs:
+                self.world.broken("refused", f"{request} was refused and had run")
+        unknown = [one for one in self.world.runs if one not in self.answers]
+        if unknown:
+            self.world.broken("unasked", f"{unknown[:3]} ran and nobody sent them")
+
+    async def check_served(self):
+        """Some seconds after the last fault most requests are served."""
+        await asyncio.sleep(5)
+        before = dict(self.counts)
+        await asyncio.gather(*(self.run(100 + n, time.monotonic() + 2) for n in range(6)))
+        good = total = 0
+        for key, count in self.counts.items():
+            new = count - before.get(key, 0)
+            total += new
+            good += new if key[1] == "200" else 0
+        if total == 0 or good < 0.9 * total:
+            self.world.broken("recover", f"{good} of {total} served after the faults")
+
+    def summary(self):
+        total = sum(self.counts.values())
+        good = sum(count for key, count in self.counts.items() if key[1] == "200")
+        return f"{good} of {total} served"
--- /dev/null
+++ b/soak/platform_standin.py
@@ -0,0 +1,251 @@
+"""Stand-ins for what surrounds a node: the platform's store and its leafs.
+
+They speak the published protocol on loopback addresses, run in one asyncio
+loop, and keep what the checks need to know.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+
+
+def now_ms():
+    return time.monotonic() * 1000.0
+
+
+async def read_head(reader):
+    """Method or version, target or status, headers; None at the end."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        return None
+    lines = raw.decode("latin-1").split("\r\n")
+    first = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    return first, headers
+
+
+async def read_body(reader, headers):
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    return b""
+
+
+def reply(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Server:
+    """Serves connections on one address; can be cut off and brought back."""
+
+    def __init__(self, host, port=0):
+        self.host, self.port = host, port
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._connected, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        if self.server:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _connected(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                body = await read_body(reader, head[1])
+                if not await self.handle(head[0], head[1], body, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    @property
+    def address(self):
+        return f"{self.host}:{self.port}"
+
+
+class Store(Server):
+    """The platform's store: items with one revision counter, and watches."""
+
+    def __init__(self, host):
+        super().__init__(host)
+        self.items, self.log = {}, []
+        self.revision = 0
+        self.mode = "up"
+        self.changed = asyncio.Event()
+        self.calls = 0
+        self.oldest = 0
+
+    def put(self, key, value):
+        self.revision += 1
+        self.items[key] = (json.dumps(value).encode(), self.revision)
+        self._record({"key": key, "value": base64.b64encode(self.items[key][0]).decode(),
+                      "revision": self.revision, "createRevision": 1, "lease": 0})
+
+    def delete(self, key):
+        if key in self.items:
+            self.revision += 1
+            del self.items[key]
+            self._record({"key": key, "revision": self.revision, "deleted": True})
+
+    def compact(self):
+        self.oldest = self.revision
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _record(self, event):
+        self.log.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _item(self, key):
+        value, revision = self.items[key]
+        return {"key": key, "value": base64.b64encode(value).decode(), "revision": revision,
+                "createRevision": 1, "lease": 0}
+
+    async def handle(self, first, headers, body, writer):
+        self.calls += 1
+        while self.mode == "silent":
+            await asyncio.sleep(0.05)
+        if self.mode == "reset":
+            writer.transport.abort()
+            return False
+        if self.mode == "busy":
+            writer.write(reply(503))
+            return True
+        path, _, query = first[1].partition("?")
+        from urllib.parse import parse_qs
+        asked = {key: values[0] for key, values in
+                 parse_qs(query, keep_blank_values=True).items()}
+        if path == "/kv-range":
+            after = asked.get("after", "")
+            keys = sorted(key for key in self.items
+                          if key.startswith(asked.get("prefix", "")) and key > after)[:50]
+            more = any(key > keys[-1] for key in self.items
+                       if key.startswith(asked.get("prefix", ""))) if keys else False
+            answer = {"items": [self._item(key) for key in keys], "hasMore": more}
+        elif path == "/kv-watch":
+            after, wait = int(asked["after"]), int(asked["waitMs"]) / 1000
+            if after < self.oldest:
+                writer.write(reply(410))
+                return True
+            prefix = asked.get("prefix", "")
+            if self.revision <= after:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), wait)
+                except asyncio.TimeoutError:
+                    pass
+            events = [one for one in self.log
+                      if one["revision"] > after and one["key"].startswith(prefix)]
+            answer = {"events": events}
+        else:
+            writer.write(reply(404))
+            return True
+        answer["currentRev"] = self.revision
+        writer.write(reply(200, json.dumps(answer).encode()))
+        return True
+
+
+class Leaf(Server):
+    """One leaf: runs requests, keeps what it ran, and can misbehave."""
+
+    def __init__(self, world, service, host, zone, rng):
+        super().__init__(host)
+        self.world, self.service, self.zone, self.rng = world, service, zone, rng
+        self.id = f"i-{rng.getrandbits(40):010x}"
+        self.slots = asyncio.Semaphore(2)
+        self.work = 0.004
+        self.fault = None
+        self.share = 0.5
+        self.running = 0
+        self.leaving_since = None
+        self.last_taken = 0.0
+
+    @property
+    def key(self):
+        return f"servers/{self.id}"
+
+    def entry(self, state="ready"):
+        return {"backend": self.service, "address": self.address, "zone": self.zone,
+                "version": "v1", "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1,
+                "born": 1}
+
+    def signature(self, request):
+        digest = hashlib.sha256(f"{request}/{self.id}/{self.world.seed}".encode())
+        return digest.hexdigest()[:16]
+
+    async def handle(self, first, headers, body, writer):
+        load = ("X-Server-Load", f"{self.running},0,2,100")
+        if first[1] == "/health":
+            writer.write(reply(200, b"", [("X-Instance-Id", self.id), load]))
+            return True
+        request = headers.get("x-request-id", "")
+        if headers.get("x-target-instance") != self.id:
+            writer.write(reply(421, b"", [("X-Instance-Id", self.id)]))
+            return True
+        fault = self.fault if self.rng.random() < self.share else None
+        if fault == "shed":
+            writer.write(reply(503, b"", [("X-Not-Executed", "1"), load]))
+            return True
+        if fault == "reset-before":
+            writer.transport.abort()
+            return False
+        if self.leaving_since is not None:
+            self.world.note_late_work(self)
+        self.world.note_run(request, self, first, body)
+        self.running += 1
+        try:
+            async with self.slots:
+                await asyncio.sleep(self.work * (20 if fault == "slow" else 1))
+        finally:
+            self.running -= 1
+        if fault == "silent":
+            await asyncio.sleep(30)
+        if fault == "reset":
+            writer.transport.abort()
+            return False
+        records = self.world.records(request, self.service)
+        if self.world.args.plant == "mixed" and self.rng.random() < 0.05:
+            records = bytes(reversed(records))
+        signed = [("X-Response-Signature", self.signature(request)),
+                  ("X-Request-Id", request), load]
+        if fault == "error":
+            writer.write(reply(500, b"failed", signed))
+            return True
+        answer = reply(200, records, signed)
+        if fault == "cut":
+            writer.write(answer[:-3])
+            writer.close()
+            return False
+        if fault == "extra":
+            other = [("X-Response-Signature", "stray"), ("X-Request-Id", "stray")]
+            writer.write(answer + reply(200, b"stray bytes", other))
+            return True
+        if fault == "unframed":
+            head, _, rest = answer.partition(b"\r\n\r\n")
+            lines = [line for line in head.split(b"\r\n") if b"Content-Length" not in line]
+            writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
+            writer.close()
+            return False
+        writer.write(answer)
+        return True
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,388 @@
+#!/usr/bin/env python3
+"""A randomized soak of basilpath-node: real processes, faults from outside.
+
+Runs hosts as separate processes on loopback addresses beside stand-ins of the
+store and the leafs, drives callers, injects faults by the seed, and checks what
+callers and leafs see. Exit code 1 when a promise was broken.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from callers import Callers  # noqa: E402
+from platform_standin import Leaf, Store  # noqa: E402
+from proxy import Proxy  # noqa: E402
+
+SHARDS = 5
+DRAIN_S = 3.0
+GRACE_S = 6.0
+CONNECTIONS = 24
+LEAF_FAULTS = ["shed", "error", "slow", "silent", "reset", "reset-before", "cut", "extra",
+               "unframed"]
+
+
+class Node:
+    """One host: a process, its settings file and its way to the store."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+        self.ip = f"127.{world.net}.1.{number + 1}"
+        self.zone = "ab"[number % 2]
+        self.proxy = Proxy(self.ip, world.store.host, world.store.port)
+        self.process = None
+        self.expected_end = False
+        self.planned_until = 0.0
+        self.disturbed_until = 0.0
+        self.file = world.folder / f"node-{number}.json"
+        self.log = open(world.folder / f"node-{number}.log", "ab")
+
+    def settings(self, first):
+        world = self.world
+        address = {name: f"{self.ip}:{world.port + offset}" for name, offset in
+                   [("front", 0), ("ready", 1), ("control", 2), ("directory", 3)]}
+        return {"nodeName": f"edge-{self.number}", "ip": self.ip, "zone": self.zone,
+                "region": "r", "zones": {"a": "r", "b": "r"}, "bindAddrs": address,
+                "portRange": [world.port + 4, world.port + 9], "bootstrap": first,
+                "seeds": [f"{node.ip}:{world.port + 2}" for node in world.nodes[:3]],
+                "limits": {"cpuShare": 1.0, "linkMbps": 1000.0},
+                "bounds": {"drainMs": int(DRAIN_S * 1000), "graceS": GRACE_S,
+                           "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 40,
+                           "ttl_max_s": 5},
+                "platform": {"address": f"{self.ip}:{self.proxy.port}"}}
+
+    async def start(self, first=False):
+        self.file.write_text(json.dumps(self.settings(first)))
+        self.expected_end = False
+        self.process = await asyncio.create_subprocess_exec(
+            self.world.program, stdout=self.log, stderr=self.log,
+            env={"BASILPATH_NODE_FILE": str(self.file), "PATH": os.environ["PATH"]})
+        asyncio.create_task(self._watch(self.process))
+
+    async def _watch(self, process):
+        code = await process.wait()
+        if not self.expected_end and process is self.process:
+            self.world.broken("end", f"{self.ip} ended by itself with {code}")
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    @property
+    def runs(self):
+        return self.process is not None and self.process.returncode is None
+
+
+class World:
+    """Everything around the nodes, and what has been seen to break."""
+
+    def __init__(self, args, seed, folder):
+        self.args, self.seed = args, seed
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.program = args.program
+        self.net = 64 + os.getpid() % 128
+        self.port = 20_000 + (seed * 37 + os.getpid()) % 20_000
+        self.store = Store(f"127.{self.net}.9.1")
+        self.leafs, self.nodes = [], []
+        self.runs, self.arrivals = {}, []
+        self.version, self.shard_sets = 0, {}
+        self.problems = []
+        self.next_leaf = 0
+        self.store_steady_since = time.monotonic()
+        self.done = {}
+
+    def broken(self, promise, what):
+        self.problems.append((promise, what))
+        print(f"  broken {promise}: {what}", flush=True)
+
+    # What leafs tell.
+    def note_run(self, request, leaf, first, body):
+        self.runs.setdefault(request, []).append((leaf.service, leaf.id, first[0], first[1],
+                                                  body))
+        self.arrivals.append((time.monotonic(), leaf.service, request))
+        if self.args.plant == "twice":
+            self.runs[request].append(self.runs[request][-1])
+        if self.args.plant == "budget":
+            self.arrivals += self.arrivals[-1:]
+
+    def note_late_work(self, leaf):
+        after = time.monotonic() - leaf.leaving_since
+        steady = time.monotonic() - self.store_steady_since
+        allowed = 0.0 if self.args.plant == "drain" else DRAIN_S
+        if after > allowed and steady > after + 4 and all(
+                node.disturbed_until < leaf.leaving_since for node in self.nodes):
+            self.broken("drain", f"{leaf.id} got work {after:.2f} s after it left")
+
+    def records(self, request, service):
+        rng = random.Random(f"{request}/{service}")
+        return b"".join(rng.randbytes(16) for _ in range(4))
+
+    async def add_leaf(self, service, zone):
+        self.next_leaf += 1
+        leaf = Leaf(self, service, f"127.{self.net}.2.{self.next_leaf % 250 + 1}", zone, self.rng)
+        await leaf.start()
+        self.leafs.append(leaf)
+        self.store.put(leaf.key, leaf.entry())
+        return leaf
+
+    def put_configuration(self):
+        self.version += 1
+        services = [f"s{n}" for n in range(SHARDS)]
+        if self.version % 2 == 0:
+            services = services[:-1] + ["s-other"]
+        self.shard_sets[self.version] = frozenset(services)
+        common = {"host": "h", "timeoutMs": 2000, "attempts": 2, "priority": 1}
+        routes = [
+            dict(common, name="all", prefix="/all/", type="idempotent", targetLatencyMs=150,
+                 gather=services, topK=6, minCoverage=0.6),
+            dict(common, name="one", prefix="/one/", type="idempotent", targetLatencyMs=200,
+                 backend="desk"),
+            dict(common, name="order", prefix="/order/", type="non_idempotent",
+                 targetLatencyMs=200, backend="desk"),
+            dict(common, name="version", prefix="/version/", type="idempotent",
+                 targetLatencyMs=200, backend=f"v{self.version % 4}")]
+        names = set(services) | {"desk"} | {f"v{n}" for n in range(4)}
+        self.store.put("op/config", {
+            "version": self.version * 3, "routes": routes,
+            "backends": [{"name": name, "healthCheck": "/health", "maxConns": CONNECTIONS}
+                         for name in sorted(names)],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}})
+        return time.monotonic()
+
+    async def build(self):
+        await self.store.start()
+        for n in range(SHARDS):
+            for zone in "ab":
+                await self.add_leaf(f"s{n}", zone)
+        for zone in "ab":
+            await self.add_leaf("s-other", zone)
+            await self.add_leaf("desk", zone)
+        await self.add_leaf("desk", "a")
+        for n in range(4):
+            await self.add_leaf(f"v{n}", "ab"[n % 2])
+        self.put_configuration()
+        self.nodes = [Node(self, n) for n in range(self.args.nodes)]
+        for node in self.nodes:
+            await node.proxy.start()
+        for node in self.nodes:
+            await node.start(first=True)
+
+    async def stop(self):
+        for node in self.nodes:
+            node.expected_end = True
+            node.signal(signal.SIGCONT)
+            node.signal(signal.SIGTERM)
+        for node in self.nodes:
+            if node.runs:
+                try:
+                    await asyncio.wait_for(node.process.wait(), GRACE_S)
+                except asyncio.TimeoutError:
+                    self.broken("stop", f"{node.ip} had not ended {GRACE_S} s after SIGTERM")
+                    node.process.kill()
+                    await node.process.wait()
+            await node.proxy.stop()
+            node.log.close()
+        for leaf in self.leafs:
+            await leaf.stop()
+        await self.store.stop()
+
+    # Faults.
+    def disturb(self, node, seconds):
+        node.disturbed_until = max(node.disturbed_until, time.monotonic() + seconds + 4)
+
+    async def fault_leafs(self):
+        chosen = self.rng.sample(self.leafs, max(1, len(self.leafs) // 5))
+        fault = self.rng.choice(LEAF_FAULTS)
+        for leaf in chosen:
+            leaf.fault = fault
+        await asyncio.sleep(self.rng.uniform(0.5, 2))
+        for leaf in chosen:
+            leaf.fault = None
+        return f"leafs {fault}"
+
+    async def fault_leaf_lost(self):
+        leaf = self.rng.choice(self.leafs)
+        await leaf.stop()
+        self.leafs.remove(leaf)
+        await asyncio.sleep(self.rng.uniform(0.5, 2))
+        self.store.delete(leaf.key)
+        await self.add_leaf(leaf.service, leaf.zone)
+        return "leaf lost"
+
+    async def fault_leaf_leaves(self):
+        leaf = self.rng.choice(self.leafs)
+        await self.add_leaf(leaf.service, leaf.zone)
+        self.store.put(leaf.key, leaf.entry("draining"))
+        leaf.leaving_since = time.monotonic()
+        self.leafs.remove(leaf)
+        await asyncio.sleep(DRAIN_S + 0.5)
+        self.store.delete(leaf.key)
+        await leaf.stop()
+        return "leaf leaves"
+
+    async def fault_store(self):
+        self.store.mode = self.rng.choice(["silent", "reset", "busy"])
+        self.store_steady_since = time.monotonic() + 60
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        mode, self.store.mode = self.store.mode, "up"
+        self.store_steady_since = time.monotonic()
+        return f"store {mode}"
+
+    async def fault_compact(self):
+        self.store.compact()
+        return "store compacted"
+
+    async def fault_cut(self):
+        node = self.rng.choice(self.nodes)
+        node.proxy.mode = self.rng.choice(["silent", "delay", "one-way-to", "one-way-from"])
+        seconds = self.rng.uniform(0.5, 3)
+        self.disturb(node, seconds)
+        await asyncio.sleep(seconds)
+        mode, node.proxy.mode = node.proxy.mode, "pass"
+        return f"store for {node.ip} {mode}"
+
+    async def fault_reset(self):
+        node = self.rng.choice(self.nodes)
+        self.disturb(node, 0)
+        node.proxy.reset_all()
+        return "store connections reset"
+
+    async def fault_kill(self):
+        node = self.rng.choice(self.nodes)
+        if not node.runs:
+            return "kill skipped"
+        self.disturb(node, 1)
+        node.expected_end = True
+        node.signal(signal.SIGKILL)
+        await node.process.wait()
+        await asyncio.sleep(self.rng.uniform(0.1, 1))
+        await node.start()
+        return f"kill {node.ip}"
+
+    async def fault_pause(self):
+        node = self.rng.choice(self.nodes)
+        seconds = self.rng.uniform(0.3, 2)
+        self.disturb(node, seconds)
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        node.signal(signal.SIGCONT)
+        return f"pause {node.ip}"
+
+    async def fault_term(self):
+        node = self.rng.choice(self.nodes)
+        if not node.runs or node.expected_end:
+            return "term skipped"
+        node.planned_until = time.monotonic() + GRACE_S + 1
+        self.disturb(node, GRACE_S)
+        node.expected_end = True
+        node.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(node.process.wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            if node.disturbed_until < time.monotonic() + 5:
+                self.broken("stop", f"{node.ip} had not ended {GRACE_S} s after SIGTERM")
+            node.process.kill()
+            await node.process.wait()
+        await node.start()
+        return f"term {node.ip}"
+
+    async def fault_hup(self):
+        for node in self.nodes:
+            node.signal(signal.SIGHUP)
+        return "hup"
+
+    async def fault_config(self):
+        for _ in range(self.rng.randint(1, 3)):
+            self.put_configuration()
+            await asyncio.sleep(self.rng.uniform(0.02, 0.8))
+        return "configuration"
+
+    async def inject(self, until):
+        names = self.args.kinds.split(",") if self.args.kinds else sorted(
+            name.removeprefix("fault_") for name in dir(self) if name.startswith("fault_"))
+        if self.args.planned:
+            names = ["term", "hup", "config", "leaf_leaves"]
+        kinds = [getattr(self, f"fault_{name}") for name in names]
+        tasks = []
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+            tasks.append(asyncio.create_task(self.rng.choice(kinds)()))
+        for name in await asyncio.gather(*tasks):
+            self.done[name.split(" 127")[0]] = self.done.get(name.split(" 127")[0], 0) + 1
+
+    # Checks over the whole run.
+    def check_budget(self):
+        firsts = set()
+        events = {}
+        for at, service, request in self.arrivals:
+            first = (service, request) not in firsts
+            firsts.add((service, request))
+            events.setdefault(service, []).append((at, first))
+        for service, list_ in events.items():
+            for start, _ in list_[:: max(1, len(list_) // 50)]:
+                inside = [first for at, first in list_ if start <= at < start + 10]
+                repeats = inside.count(False)
+                if repeats > 0.2 * inside.count(True) + 40:
+                    self.broken("budget", f"{service}: {repeats} repeats of {len(inside)}")
+                    return
+
+
+async def play(args, seed):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="basilpath-soak-"))
+    world = World(args, seed, folder)
+    await world.build()
+    callers = Callers(world)
+    await callers.await_ready()
+    until = time.monotonic() + args.seconds
+    tasks = [asyncio.create_task(callers.run(number, until)) for number in range(args.callers)]
+    await world.inject(until)
+    await asyncio.gather(*tasks)
+    await callers.check_served()
+    await world.stop()
+    world.check_budget()
+    callers.check_once()
+    verdict = "ok" if not world.problems else "BROKEN"
+    print(f"seed {seed}: {verdict}; {callers.summary()}; faults {sum(world.done.values())}; "
+          f"store calls {world.store.calls}", flush=True)
+    if world.problems:
+        print(f"  logs: {folder}", flush=True)
+    else:
+        shutil.rmtree(folder)
+    return not world.problems
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("program", help="path of basilpath-node")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="seeds to run, one after the other")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--planned", action="store_true", help="only planned work, no faults")
+    parser.add_argument("--kinds", help="faults to choose from, by name; all without it")
+    parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain"],
+                        help="break a promise on purpose; the run must fail")
+    args = parser.parse_args()
+    args.program = str(pathlib.Path(args.program).resolve())
+    good = [asyncio.run(play(args, seed)) for seed in range(args.seed, args.seed + args.seeds)]
+    if args.plant:
+        print(f"planted {args.plant}: {'caught' if not any(good) else 'MISSED'}")
+        return 0 if not any(good) else 1
+    print(f"{good.count(True)} passed, {good.count(False)} failed")
+    return 0 if all(good) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -190,7 +190,7 @@
         if (this->buffer.size() >= read_ahead_bytes)
         {
             // The caller is not read further; only a reset shows that it left.
-            const auto [error] = co_await this->socket.async_wait(
+            co_await this->socket.async_wait(
                 asio::ip::tcp::socket::wait_error,
                 asio::bind_cancellation_slot(
                     this->answered.slot(),
--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -36,13 +36,14 @@
     };
 
     target_connection(const boost::asio::any_io_executor& executor,
-                      boost::asio::ip::tcp::endpoint address, events told);
+                      const boost::asio::ip::tcp::endpoint& address,
+                      events told);
 
     /// Connects, then reads until the connection ends.
     boost::asio::awaitable<void> run();
 
     /// Sends a call; the connection must be idle.
-    void send(std::shared_ptr<target_call> call, instant now);
+    void send(const std::shared_ptr<target_call>& next, instant now);
 
     /// Ends the connection; a call on it is broken.
     void close();
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -29,7 +29,7 @@
 template <target_codec Codec>
 target_connection<Codec>::target_connection(
     const boost::asio::any_io_executor& executor,
-    boost::asio::ip::tcp::endpoint address, events told)
+    const boost::asio::ip::tcp::endpoint& address, events told)
     : socket(executor), address(address), told(std::move(told)), changed(now()),
       kept(target_connection_bounds::default_idle)
 {
@@ -60,10 +60,10 @@
 }
 
 template <target_codec Codec>
-void target_connection<Codec>::send(std::shared_ptr<target_call> next,
+void target_connection<Codec>::send(const std::shared_ptr<target_call>& next,
                                     instant now)
 {
-    this->call = std::move(next);
+    this->call = next;
     this->call->sent = now;
     this->call->on_wire = true;
     this->start_parser();
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -20,6 +20,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -33,8 +34,12 @@
 class node
 {
 public:
+    /// Reads the settings anew; nothing when they cannot be used.
+    using settings_source = std::function<std::optional<node_settings>()>;
+
     /// Listens on the addresses of the settings; throws when that fails.
-    node(boost::asio::io_context& context, node_settings settings);
+    node(boost::asio::io_context& context, node_settings settings,
+         settings_source reread);
 
     /// Starts all tasks. SIGTERM ends them and stops the context.
     void start();
@@ -52,6 +57,7 @@
     boost::asio::awaitable<http_response> answer_metrics();
     boost::asio::awaitable<void> await_end();
     boost::asio::awaitable<void> drain();
+    void reload();
     void take_strike(const crash_strike& strike);
     void take_item(const item_change& change);
     void take_routes(const std::shared_ptr<const route_table>& table);
@@ -65,6 +71,10 @@
 
     boost::asio::io_context& context;
     node_settings settings;
+
+    /// As last read; parts of it hold only after a restart.
+    node_settings last_read;
+    settings_source reread;
     real_runtime run;
     pool targets;
     repeat_budget repeats;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -47,6 +47,10 @@
 /// How often shared bounds are divided anew.
 inline constexpr milliseconds share_interval{500};
 
+/// Settings may change without a signal; they are looked at once in this many
+/// of those rounds.
+inline constexpr std::uint64_t reload_rounds = 4;
+
 /// A host that has just started may not know all others yet, and takes them to
 /// be this many for a while.
 inline constexpr milliseconds discovery_time{3'000};
@@ -55,9 +59,10 @@
 } // namespace node_bounds
 
 template <class Adapter>
-node<Adapter>::node(boost::asio::io_context& context, node_settings initial)
-    : context(context), settings(std::move(initial)),
-      run(context, std::random_device{}()),
+node<Adapter>::node(boost::asio::io_context& context, node_settings initial,
+                    settings_source source)
+    : context(context), settings(std::move(initial)), last_read(this->settings),
+      reread(std::move(source)), run(context, std::random_device{}()),
       targets(context, this->settings.domain),
       repeats({this->settings.repeat_ratio, this->settings.repeat_slack,
                this->settings.repeat_window}),
@@ -185,13 +190,57 @@
 template <class Adapter>
 boost::asio::awaitable<void> node<Adapter>::await_end()
 {
-    boost::asio::signal_set signals(this->context, SIGTERM, SIGINT);
-    co_await signals.async_wait(
-        boost::asio::as_tuple(boost::asio::use_awaitable));
+    boost::asio::signal_set signals(this->context, SIGTERM, SIGINT, SIGHUP);
+    while (true)
+    {
+        const auto [error, number] = co_await signals.async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (error || number != SIGHUP)
+        {
+            break;
+        }
+        this->reload();
+    }
     co_await this->drain();
     this->context.stop();
 }
 
+// Takes settings that have changed. Addresses hold until the process starts
+// anew; bounds and seeds hold at once.
+template <class Adapter>
+void node<Adapter>::reload()
+{
+    const std::optional<node_settings> read = this->reread();
+    if (!read)
+    {
+        log_event(log_level::warning, "reload_refused",
+                  {{"host", this->settings.name.value}});
+        return;
+    }
+    if (*read == this->last_read)
+    {
+        return;
+    }
+    this->last_read = *read;
+    const bool moved = read->callers != this->settings.callers ||
+                       read->readiness != this->settings.readiness ||
+                       read->directory != this->settings.directory ||
+                       read->peers != this->settings.peers ||
+                       read->store != this->settings.store;
+    this->settings.stop_within = read->stop_within;
+    this->settings.leave_within = read->leave_within;
+    this->settings.directory_keep = read->directory_keep;
+    this->settings.domains = read->domains;
+    this->settings.seeds = read->seeds;
+    this->peers.set_seeds(read->seeds);
+    this->repeats.set_bound(
+        {read->repeat_ratio, read->repeat_slack, read->repeat_window});
+    this->share_bounds();
+    log_event(log_level::info, "reloaded",
+              {{"host", this->settings.name.value},
+               {"addresses_need_restart", moved}});
+}
+
 // Serves on until callers have learned that this host leaves, then ends idle
 // connections, then waits for what is still being answered.
 template <class Adapter>
@@ -303,6 +352,7 @@
 boost::asio::awaitable<void> node<Adapter>::follow_members()
 {
     boost::asio::steady_timer timer(this->context);
+    std::uint64_t rounds = 0;
     while (true)
     {
         timer.expires_after(node_bounds::share_interval);
@@ -310,6 +360,10 @@
             boost::asio::as_tuple(boost::asio::use_awaitable));
         this->share_bounds();
         flush_log();
+        if (++rounds % node_bounds::reload_rounds == 0)
+        {
+            this->reload();
+        }
     }
 }
 
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -89,7 +89,7 @@
              { return this->answer_view(std::move(request)); })
 {
     this->socket.non_blocking(true);
-    std::erase(this->seeds, members.own().address);
+    this->set_seeds(this->seeds);
 }
 
 void peer_exchange::start()
@@ -101,6 +101,12 @@
     asio::co_spawn(this->context, this->probe(), asio::detached);
 }
 
+void peer_exchange::set_seeds(std::vector<peer_address> wanted)
+{
+    this->seeds = std::move(wanted);
+    std::erase(this->seeds, this->members.own().address);
+}
+
 void peer_exchange::push()
 {
     this->tell_some(this->view.view().revision());
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -31,6 +31,9 @@
     /// Starts to listen and to probe.
     void start();
 
+    /// Takes other hosts to ask for hosts.
+    void set_seeds(std::vector<peer_address> wanted);
+
     /// Tells some members at once what has changed of this host.
     void push();
 
--- a/src/node/process/query_service.hpp
+++ b/src/node/process/query_service.hpp
@@ -29,9 +29,9 @@
     }
 
     /// Takes the routes for requests to come.
-    void set_routes(std::shared_ptr<const route_table> routes)
+    void set_routes(const std::shared_ptr<const route_table>& table)
     {
-        this->routes = std::move(routes);
+        this->routes = table;
     }
 
     /// Answers one request.
@@ -56,10 +56,10 @@
     boost::asio::awaitable<caller_reply> gather(state_pointer state);
     boost::asio::awaitable<caller_reply> forward(state_pointer state);
     void note_unrouted(const caller_query& query, unsigned status,
-                       std::string outcome);
+                       const std::string& outcome);
     void note_end(request_state& state, const caller_reply& reply);
     [[nodiscard]] caller_reply refuse(request_state& state, unsigned status,
-                                      std::string outcome);
+                                      const std::string& outcome);
     [[nodiscard]] milliseconds return_wait();
     [[nodiscard]] milliseconds spent(const route& rule, milliseconds patience);
     [[nodiscard]] service_name choose_part(const route& rule);
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -20,6 +20,10 @@
 inline constexpr milliseconds least_return{40};
 inline constexpr milliseconds most_return{160};
 
+/// Where there is no configuration, the store or other hosts must be reached
+/// first, and callers are asked to wait this many times as long.
+inline constexpr int start_factor = 4;
+
 } // namespace query_service_bounds
 
 template <runtime Runtime, target_transport Transport>
@@ -31,8 +35,13 @@
     if (!table)
     {
         this->note_unrouted(*query, 503, "no_configuration");
-        co_return caller_reply{
-            503, {}, "no configuration yet\n", this->return_wait(), {}, {}};
+        co_return caller_reply{503,
+                               {},
+                               "no configuration yet\n",
+                               this->return_wait() *
+                                   query_service_bounds::start_factor,
+                               {},
+                               {}};
     }
     const std::string_view path =
         std::string_view(query->target).substr(0, query->target.find('?'));
@@ -146,13 +155,12 @@
 
 // Counts and logs a request that no route takes.
 template <runtime Runtime, target_transport Transport>
-void query_service<Runtime, Transport>::note_unrouted(const caller_query& query,
-                                                      unsigned status,
-                                                      std::string outcome)
+void query_service<Runtime, Transport>::note_unrouted(
+    const caller_query& query, unsigned status, const std::string& outcome)
 {
     request_summary summary;
     summary.id = query.id;
-    summary.outcome = std::move(outcome);
+    summary.outcome = outcome;
     summary.status = status;
     summary.arrived = query.arrived;
     summary.noteworthy = true;
@@ -182,11 +190,11 @@
 }
 
 template <runtime Runtime, target_transport Transport>
-caller_reply query_service<Runtime, Transport>::refuse(request_state& state,
-                                                       unsigned status,
-                                                       std::string outcome)
+caller_reply
+query_service<Runtime, Transport>::refuse(request_state& state, unsigned status,
+                                          const std::string& outcome)
 {
-    state.summary.outcome = std::move(outcome);
+    state.summary.outcome = outcome;
     return {status, {}, state.summary.outcome + "\n", this->return_wait(),
             {},     {}};
 }
--- a/src/node/process/repeat_budget.hpp
+++ b/src/node/process/repeat_budget.hpp
@@ -30,6 +30,12 @@
 public:
     explicit repeat_budget(repeat_bound bound) : bound(bound) {}
 
+    /// Takes another bound; what was spent still counts.
+    void set_bound(repeat_bound wanted)
+    {
+        this->bound = wanted;
+    }
+
     /// Takes the number of hosts that share the slack.
     void set_host_count(std::size_t hosts);
 
--- a/src/node/process/roster.hpp
+++ b/src/node/process/roster.hpp
@@ -79,7 +79,6 @@
     [[nodiscard]] unsigned tell_limit() const;
 
     member self;
-    unsigned self_told = 0;
     std::map<peer_address, record> records;
     peer_address last_probed;
     instant dead_probe_at{};
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -35,9 +35,9 @@
     target_pool(boost::asio::io_context& context, failure_domain domain);
 
     /// Has `told` called whenever a replica refuses connections.
-    void on_refused(std::function<void(const leaf_id&, instant)> told)
+    void on_refused(const std::function<void(const leaf_id&, instant)>& told)
     {
-        this->told_refused = std::move(told);
+        this->told_refused = told;
     }
 
     /// Begins to sweep connections and to check replicas that are down.
@@ -51,7 +51,7 @@
     void drop_replica(const leaf_id& id, milliseconds patience);
 
     /// Takes the connection bounds of services.
-    void set_routes(std::shared_ptr<const route_table> routes);
+    void set_routes(const std::shared_ptr<const route_table>& routes);
 
     /// Takes the number of hosts that share each replica's connections, and
     /// the number of those that callers are sent to, which share its slots.
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -120,9 +120,10 @@
 }
 
 template <target_codec Codec>
-void target_pool<Codec>::set_routes(std::shared_ptr<const route_table> routes)
+void target_pool<Codec>::set_routes(
+    const std::shared_ptr<const route_table>& routes)
 {
-    this->table = std::move(routes);
+    this->table = routes;
     this->shard_services = this->table->shard_services();
 }
 
--- a/src/node/process/view_reader.ipp
+++ b/src/node/process/view_reader.ipp
@@ -136,6 +136,7 @@
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> view_reader<Runtime, Source>::watch()
 {
+    const instant started = to_instant(Runtime::clock::now());
     const store_revision after = this->view.view().revision();
     const read_result result =
         co_await this->source.watch(after, view_reader_bounds::watch_wait);
@@ -149,7 +150,11 @@
         co_return false;
     }
     this->view.apply(result.update, to_instant(Runtime::clock::now()));
-    if (!result.update.changes.empty())
+    // A store that answers early, with changes or without, is not asked again
+    // at once.
+    const microseconds took = to_instant(Runtime::clock::now()) - started;
+    if (!result.update.changes.empty() ||
+        took < view_reader_bounds::gather_wait)
     {
         co_await this->pause(view_reader_bounds::gather_wait);
     }
--- a/test/node_decisions_test.cpp
+++ b/test/node_decisions_test.cpp
@@ -45,10 +45,11 @@
 std::vector<candidate> as_candidates(const std::vector<test_replica>& replicas)
 {
     std::vector<candidate> result;
-    for (const test_replica& one : replicas)
-    {
-        result.push_back({&one.target, &one.health, false});
-    }
+    std::ranges::transform(
+        replicas, std::back_inserter(result),
+        [](const test_replica& one) {
+            return candidate{&one.target, &one.health, false};
+        });
     return result;
 }
 
@@ -65,7 +66,7 @@
 std::shared_ptr<target_call> call_until(const std::string& id,
                                         microseconds useful)
 {
-    const auto call = std::make_shared<target_call>();
+    auto call = std::make_shared<target_call>();
     call->to = leaf_id(id);
     call->useful_until = at(useful);
     call->deadline = at(1s);
--- a/test/node_gather_test.cpp
+++ b/test/node_gather_test.cpp
@@ -31,7 +31,7 @@
     check_golden("node-gather-whole.txt", node.targets.record.text);
     REQUIRE(node.replies.size() == 1);
     CHECK(node.replies[0].status == 200);
-    CHECK(node.replies[0].body.size() == 4 * 16);
+    CHECK(node.replies[0].body.size() == 64);
     CHECK(node.replies[0].missing_parts == 0);
 }
 
--- a/test/node_http_test.cpp
+++ b/test/node_http_test.cpp
@@ -28,8 +28,10 @@
     server_fixture()
         : server(context, "127.0.0.1:0",
                  [this](std::shared_ptr<http_request> request,
-                        std::shared_ptr<caller_presence> presence)
-                 { return this->answer(request, presence); }),
+                        std::shared_ptr<caller_presence> presence) {
+                     return this->answer(std::move(request),
+                                         std::move(presence));
+                 }),
           caller(context)
     {
         this->server.start();
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -44,7 +44,7 @@
         query->target = "/x";
         query->id = request_id(id);
         query->headers = {{"Host", "h"}, {"X-Request-Id", id}};
-        const auto call = std::make_shared<target_call>();
+        auto call = std::make_shared<target_call>();
         call->query = query;
         call->to = leaf_id("i-1");
         call->route = "r";
@@ -207,6 +207,7 @@
     pool_fixture node([](const std::string&, std::size_t)
                       { return raw_action{}; });
     std::vector<std::shared_ptr<target_call>> calls;
+    calls.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
         calls.push_back(node.start(fmt::format("call-{}", i)));
