Only hosts that serve callers hold connections; as many serve as leafs allow

Change: the directory names no more hosts than have two of a leaf's connections each, the same on all hosts; only these connect in advance and share the bound.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,8 @@
 
 VERSION_SLACK_S = 0.25
 
+# Services that answer for a version, in turn; a host may skip some versions.
+VERSIONS = 16
 
 class Callers:
     """Keep connections, ask the directory, send requests and judge answers."""
@@ -147,7 +149,8 @@
         seen = int(runs[0][0][1:])
         key = (node.ip, node.process.pid)
         newest, since = self.newest.get(key, (None, 0.0))
-        if newest is not None and seen != newest and (newest - seen) % 4 == 1:
+        back = (newest - seen) % VERSIONS if newest is not None else 0
+        if 0 < back < VERSIONS // 2:
             if sent > since + VERSION_SLACK_S:
                 self.world.broken("version", f"{request} at {node.ip} ran at v{seen} after "
                                              f"v{newest}")
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -19,7 +19,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from callers import Callers  # noqa: E402
+from callers import VERSIONS, Callers  # noqa: E402
 from platform_standin import Leaf, Store  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
@@ -91,7 +91,8 @@
         self.folder = folder
         self.program = args.program
         self.net = 64 + os.getpid() % 128
-        self.port = 20_000 + (seed * 37 + os.getpid()) % 20_000
+        # Below the ports that the system gives to outgoing connections.
+        self.port = 10_000 + (seed * 37 + os.getpid()) % 20_000
         self.store = Store(f"127.{self.net}.9.1")
         self.leafs, self.nodes = [], []
         self.runs, self.arrivals = {}, []
@@ -150,8 +151,8 @@
             dict(common, name="order", prefix="/order/", type="non_idempotent",
                  targetLatencyMs=200, backend="desk"),
             dict(common, name="version", prefix="/version/", type="idempotent",
-                 targetLatencyMs=200, backend=f"v{self.version % 4}")]
-        names = set(services) | {"desk"} | {f"v{n}" for n in range(4)}
+                 targetLatencyMs=200, backend=f"v{self.version % VERSIONS}")]
+        names = set(services) | {"desk"} | {f"v{n}" for n in range(VERSIONS)}
         self.store.put("op/config", {
             "version": self.version * 3, "routes": routes,
             "backends": [{"name": name, "healthCheck": "/health", "maxConns": CONNECTIONS}
@@ -169,7 +170,7 @@
             await self.add_leaf("s-other", zone)
             await self.add_leaf("desk", zone)
         await self.add_leaf("desk", "a")
-        for n in range(4):
+        for n in range(VERSIONS):
             await self.add_leaf(f"v{n}", "ab"[n % 2])
         self.put_configuration()
         self.nodes = [Node(self, n) for n in range(self.args.nodes)]
@@ -260,7 +261,7 @@
 
     async def fault_kill(self):
         node = self.rng.choice(self.nodes)
-        if not node.runs:
+        if not node.runs or node.expected_end:
             return "kill skipped"
         self.disturb(node, 1)
         node.expected_end = True
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -23,6 +23,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace basilpath
 {
@@ -63,7 +64,8 @@
     void take_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> follow_members();
     void share_bounds();
-    [[nodiscard]] std::size_t serving_count() const;
+    [[nodiscard]] std::set<http_address> serving_hosts() const;
+    [[nodiscard]] steering_state steering() const;
     [[nodiscard]] static reader_role role_of(const node_settings& settings);
     [[nodiscard]] static member describe(const node_settings& settings,
                                          std::uint64_t start);
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -44,6 +44,10 @@
 /// lost is left alone soon.
 inline constexpr milliseconds directory_keep{2'000};
 
+/// A host that serves callers should have this many of a replica's connections:
+/// one for a call and one for the next while the first is given up.
+inline constexpr std::size_t connections_per_host = 2;
+
 /// How often shared bounds are divided anew.
 inline constexpr milliseconds share_interval{500};
 
@@ -151,8 +155,7 @@
     {
         co_return http_response(boost::beast::http::status::not_found, 11);
     }
-    const steering_state known{this->members.live(),
-                               this->targets.shard_domains()};
+    const steering_state known = this->steering();
     co_return Adapter::directory(
         steer(known, *question),
         std::min(node_bounds::directory_keep, this->settings.directory_keep));
@@ -376,16 +379,17 @@
     {
         hosts = std::max(hosts, node_bounds::unknown_hosts);
     }
-    this->targets.set_host_count(hosts, this->serving_count());
+    const std::set<http_address> serving = this->serving_hosts();
+    this->targets.set_serving(serving.size(),
+                              serving.contains(this->settings.callers));
     this->repeats.set_host_count(hosts);
 }
 
 // Hosts that callers of some domain are sent to.
 template <class Adapter>
-std::size_t node<Adapter>::serving_count() const
+std::set<http_address> node<Adapter>::serving_hosts() const
 {
-    const steering_state known{this->members.live(),
-                               this->targets.shard_domains()};
+    const steering_state known = this->steering();
     std::set<http_address> serving;
     for (const auto& [domain, region] : this->settings.domains)
     {
@@ -394,7 +398,15 @@
             serving.insert(one);
         }
     }
-    return std::max<std::size_t>(serving.size(), 1);
+    return serving;
+}
+
+template <class Adapter>
+steering_state node<Adapter>::steering() const
+{
+    return {this->members.live(), this->targets.shard_domains(),
+            this->targets.least_connections() /
+                node_bounds::connections_per_host};
 }
 
 template <class Adapter>
--- a/src/node/process/steering.cpp
+++ b/src/node/process/steering.cpp
@@ -1,7 +1,11 @@
 #include "node/process/steering.hpp"
 
+#include "version/rendezvous.hpp"
+
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <utility>
 
 namespace basilpath
 {
@@ -27,6 +31,34 @@
                                                                 : hosts;
 }
 
+// Keeps `most` hosts, as many of each failure domain; all hosts choose the
+// same.
+std::vector<member> limit(std::vector<member> hosts, std::size_t most)
+{
+    if (most == 0 || hosts.size() <= most)
+    {
+        return hosts;
+    }
+    std::map<failure_domain, std::vector<member>> by_domain;
+    for (member& one : hosts)
+    {
+        by_domain[one.domain].push_back(std::move(one));
+    }
+    const std::size_t each = std::max(
+        least_hosts, most / std::max<std::size_t>(by_domain.size(), 1));
+    std::vector<member> chosen;
+    for (auto& [domain, list] : by_domain)
+    {
+        std::ranges::sort(
+            list, {},
+            [](const member& one)
+            { return rendezvous_hash("serving", one.address.value); });
+        list.resize(std::min(list.size(), each));
+        std::ranges::move(list, std::back_inserter(chosen));
+    }
+    return chosen;
+}
+
 } // namespace
 
 std::vector<http_address> steer(const steering_state& state,
@@ -57,6 +89,7 @@
                });
     hosts = prefer(hosts, [&state](const member& one)
                    { return state.replica_domains.contains(one.domain); });
+    hosts = limit(std::move(hosts), state.most_hosts);
     hosts = prefer(hosts, [&question](const member& one)
                    { return one.domain == question.domain; });
 
--- a/src/node/process/steering.hpp
+++ b/src/node/process/steering.hpp
@@ -22,12 +22,17 @@
 
     /// Failure domains in which replicas of shards stand.
     std::set<failure_domain> replica_domains;
+
+    /// Most hosts that should serve callers at a time, so that each has its
+    /// share of every replica's connections; zero for no bound.
+    std::size_t most_hosts = 0;
 };
 
 /// The addresses for one caller: hosts that are ready and do not leave. Hosts
 /// beside the replicas are preferred, because an answer is small and the parts
 /// that make it are many; of these the ones in the caller's domain; hosts that
-/// are much weaker than the strongest stand by. Never fewer than
+/// are much weaker than the strongest stand by, and so do those that would make
+/// the share of a replica's connections too small. Never fewer than
 /// `least_hosts` while there are more, so that a caller outlives the loss of
 /// one. Answers the load in which weak hosts or long ways make answers late.
 [[nodiscard]] std::vector<http_address>
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -53,9 +53,10 @@
     /// Takes the connection bounds of services.
     void set_routes(const std::shared_ptr<const route_table>& routes);
 
-    /// Takes the number of hosts that share each replica's connections, and
-    /// the number of those that callers are sent to, which share its slots.
-    void set_host_count(std::size_t hosts, std::size_t serving);
+    /// Takes the number of hosts that callers are sent to, which share each
+    /// replica's connections and slots, and whether this is one of them. Only
+    /// such a host keeps a connection to each replica in advance.
+    void set_serving(std::size_t hosts, bool serves);
 
     /// The replicas of a service.
     [[nodiscard]] std::vector<candidate>
@@ -71,6 +72,10 @@
     /// What calls of a route have lately taken.
     [[nodiscard]] route_latency latency(const std::string& route) const;
 
+    /// The least connections that a replica of a shard accepts from all hosts;
+    /// zero when there is none.
+    [[nodiscard]] std::size_t least_connections() const;
+
     /// The failure domains in which replicas of shards stand.
     [[nodiscard]] std::set<failure_domain> shard_domains() const;
 
@@ -139,8 +144,8 @@
     std::map<std::string, route_statistics> routes;
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
-    std::size_t host_count = 1;
     std::size_t serving_count = 1;
+    bool serves = false;
     std::function<void(const leaf_id&, instant)> told_refused;
 };
 
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -39,6 +39,11 @@
 /// slots are never empty; what waits longer waits here, where it is ordered.
 inline constexpr std::size_t queue_places = 1;
 
+/// Part of a replica's connections that the hosts that serve callers share.
+/// The rest is for health checks, for callers that keep an old answer of the
+/// directory, and for hosts that do not agree on who serves.
+inline constexpr std::size_t shared_percent = 80;
+
 /// How long a health check may take.
 inline constexpr milliseconds probe_limit{400};
 
@@ -89,7 +94,10 @@
         one, target_health(one.slots, one.warmup, now()), {}, {}, {}, false});
     this->entries[one.id] = made;
     this->by_service[one.service].push_back(made);
-    this->open(made);
+    if (this->serves)
+    {
+        this->open(made);
+    }
 }
 
 template <target_codec Codec>
@@ -147,10 +155,37 @@
 }
 
 template <target_codec Codec>
-void target_pool<Codec>::set_host_count(std::size_t hosts, std::size_t serving)
+void target_pool<Codec>::set_serving(std::size_t hosts, bool serving)
+{
+    this->serving_count = std::max<std::size_t>(hosts, 1);
+    const bool begins = serving && !this->serves;
+    this->serves = serving;
+    if (!begins)
+    {
+        return;
+    }
+    for (const auto& [id, one] : this->entries)
+    {
+        if (one->connections.empty() && !one->target.leaving)
+        {
+            this->open(one);
+        }
+    }
+}
+
+template <target_codec Codec>
+std::size_t target_pool<Codec>::least_connections() const
 {
-    this->host_count = std::max<std::size_t>(hosts, 1);
-    this->serving_count = std::max<std::size_t>(serving, 1);
+    std::size_t least = 0;
+    for (const service_name& name : this->shard_services)
+    {
+        const service_rule* const rule = this->table->service(name);
+        if (rule && (least == 0 || rule->connections < least))
+        {
+            least = rule->connections;
+        }
+    }
+    return least;
 }
 
 template <target_codec Codec>
@@ -532,7 +567,9 @@
     const service_rule* rule =
         this->table ? this->table->service(one.target.service) : nullptr;
     const std::size_t limit = rule ? rule->connections : one.target.slots;
-    return std::max<std::size_t>(1, limit / this->host_count);
+    const std::size_t shared = limit * target_pool_bounds::shared_percent / 100;
+    return this->serves ? std::max<std::size_t>(1, shared / this->serving_count)
+                        : 1;
 }
 
 template <target_codec Codec>
--- a/test/node_decisions_test.cpp
+++ b/test/node_decisions_test.cpp
@@ -381,6 +381,29 @@
     CHECK(steered(state, "a").empty());
 }
 
+TEST_CASE("no more hosts serve than a replica has connections for")
+{
+    steering_state state;
+    for (int i = 0; i < 60; ++i)
+    {
+        state.hosts.push_back(host("a" + std::to_string(i), "a"));
+        state.hosts.push_back(host("b" + std::to_string(i), "b"));
+    }
+    state.replica_domains = {failure_domain("a"), failure_domain("b")};
+    state.most_hosts = 26;
+    const auto first = steered(state, "a");
+    CHECK(first.size() == 13);
+    // The loss of one of them brings in one other and moves no more.
+    std::erase_if(state.hosts, [&first](const member& one)
+                  { return one.callers.value == first.front(); });
+    const auto second = steered(state, "a");
+    CHECK(second.size() == 13);
+    CHECK(std::ranges::count_if(
+              second, [&first](const std::string& one)
+              { return std::ranges::find(first, one) == first.end(); }) == 1);
+    CHECK(steered(state, "c").size() == 26);
+}
+
 TEST_CASE("a caller gets at least two hosts while there are two")
 {
     steering_state state;
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -22,11 +22,11 @@
         : server(context, std::move(behave)), pool(context, failure_domain("a"))
     {
         this->pool.start();
-        this->pool.set_host_count(1, 1);
+        this->pool.set_serving(1, true);
         this->pool.set_routes(std::make_shared<const route_table>(
             document_number(1), std::vector<route>{},
             std::map<service_name, service_rule>{
-                {service_name("s"), {"/health", 4}}},
+                {service_name("s"), {"/health", 5}}},
             caller_limits{}));
         replica one;
         one.id = leaf_id("i-1");
