--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -105,6 +105,8 @@
     void hedge_due(instant now);
     [[nodiscard]] instant next_wake(instant now) const;
     [[nodiscard]] bool out_of_reach() const;
+    [[nodiscard]] gather_end lost_reach() const;
+    [[nodiscard]] bool is_on_wire(const shard_state& state) const;
     void give_up_calls();
     void note_crashes();
     gather_result conclude(gather_end end);
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -63,7 +63,7 @@
     }
     if (this->out_of_reach())
     {
-        co_return this->conclude(gather_end::out_of_reach);
+        co_return this->conclude(this->lost_reach());
     }
 
     // Step 3. Take what comes, ask again where it pays.
@@ -93,7 +93,7 @@
         }
         if (this->out_of_reach())
         {
-            co_return this->conclude(gather_end::out_of_reach);
+            co_return this->conclude(this->lost_reach());
         }
         if (time >= this->plan.deadline)
         {
@@ -336,6 +336,25 @@
     return this->shards.size() - this->failures < this->needed;
 }
 
+// How a query ends that cannot reach its coverage any more: when no replica got
+// any of it, it has not run.
+template <runtime Runtime, target_transport Transport>
+gather_end gather_session<Runtime, Transport>::lost_reach() const
+{
+    const bool any =
+        std::ranges::any_of(this->shards, [this](const shard_state& one)
+                            { return one.arrived || this->is_on_wire(one); });
+    return any ? gather_end::out_of_reach : gather_end::not_attempted;
+}
+
+template <runtime Runtime, target_transport Transport>
+bool gather_session<Runtime, Transport>::is_on_wire(
+    const shard_state& state) const
+{
+    return std::ranges::any_of(state.calls,
+                               [](const auto& call) { return call->on_wire; });
+}
+
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::give_up_calls()
 {
--- a/test/node_gather_test.cpp
+++ b/test/node_gather_test.cpp
@@ -143,6 +143,19 @@
     CHECK(node.replies[0].status == 503);
 }
 
+TEST_CASE("a query of which nothing could be sent has not run")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call&, std::size_t)
+    {
+        return lost(call_end::unsent, 0ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(1s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 503);
+}
+
 TEST_CASE("a failure of a leaf is no part, though it is signed")
 {
     node_session_fixture node;
