--- a/src/node/process/target_health.cpp
+++ b/src/node/process/target_health.cpp
@@ -71,7 +71,8 @@
 
 void target_health::on_answer(instant now, microseconds latency,
                               microseconds usual,
-                              const std::optional<replica_load>& load, bool good)
+                              const std::optional<replica_load>& load,
+                              bool good)
 {
     this->forget_oldest();
     this->last_sign = now;
@@ -88,8 +89,8 @@
     this->failures_in_row = 0;
     const double expected =
         std::max(1.0, static_cast<double>(usual.count())) * this->pace(now);
-    const double ratio =
-        std::clamp(static_cast<double>(latency.count()) / expected, 0.1, most_slowness);
+    const double ratio = std::clamp(
+        static_cast<double>(latency.count()) / expected, 0.1, most_slowness);
     this->slowness += answer_weight * (ratio - this->slowness);
     this->service_us += answer_weight * (static_cast<double>(latency.count()) -
                                          this->service_us);
