Test of idle connections: wait until the server knows that it has answered

Under 16 copies of the tests at once, 1 of 48 runs failed in the same way (one CHECK, all 283 cases run): the caller had read the answer before the completion of the server's write had run, so the connection was still busy when the test asked for idle ones to be closed, once. The node asks every drain_interval, so it is the test that raced.

Change: the test waits for busy_count() to be 0; a second test stops between the write and its completion, one handler at a time, and shows that a busy connection outlives the first look and not the second.

--- a/test/node_http_test.cpp
+++ b/test/node_http_test.cpp
@@ -65,17 +65,22 @@
         for (int i = 0; i < 5000 && !done(); ++i)
         {
             this->context.run_for(1ms);
-            std::array<char, 4096> space{};
-            boost::system::error_code error;
-            const auto count =
-                this->caller.read_some(asio::buffer(space), error);
-            this->got.append(space.data(), count);
-            this->closed = this->closed || error == asio::error::eof ||
-                           error == asio::error::connection_reset;
+            this->read();
         }
         return this->got;
     }
 
+    // Takes what has arrived at the caller.
+    void read()
+    {
+        std::array<char, 4096> space{};
+        boost::system::error_code error;
+        const auto count = this->caller.read_some(asio::buffer(space), error);
+        this->got.append(space.data(), count);
+        this->closed = this->closed || error == asio::error::eof ||
+                       error == asio::error::connection_reset;
+    }
+
     std::string receive_text(const std::string& text)
     {
         return this->receive(
@@ -179,6 +184,28 @@
     node.server.close_idle();
     CHECK(node.receive_text("/busy").find("/busy") != std::string::npos);
     CHECK_FALSE(node.closed);
+    // The caller may have the answer before the server knows that it is sent.
+    node.receive([&node] { return node.server.busy_count() == 0; });
+    node.server.close_idle();
+    node.receive([&node] { return node.closed; });
+    CHECK(node.closed);
+}
+
+TEST_CASE("a connection whose answer is just being sent is closed by the next "
+          "look for idle ones")
+{
+    server_fixture node;
+    node.send("GET /sent HTTP/1.1\r\nHost: h\r\n\r\n");
+    // One handler at a time, to stop between the write and its completion.
+    while (node.got.find("/sent") == std::string::npos)
+    {
+        node.context.run_one();
+        node.read();
+    }
+    REQUIRE(node.server.busy_count() == 1);
+    node.server.close_idle();
+    node.receive([&node] { return node.server.busy_count() == 0; });
+    CHECK_FALSE(node.closed);
     node.server.close_idle();
     node.receive([&node] { return node.closed; });
     CHECK(node.closed);
