--- a/test/ctl_test.cpp
+++ b/test/ctl_test.cpp
@@ -13,6 +13,7 @@
 #include "sample_document.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
 #include <array>
