--- /dev/null
+++ b/fuzz/peer_datagram.cpp
@@ -0,0 +1,52 @@
+/// Fuzz target: any bytes as what hosts send each other.
+#include "node/connection/peer_datagram.hpp"
+
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+namespace
+{
+
+using namespace basilpath;
+
+bool sound(const member& one)
+{
+    return one.state <= member_state::dead &&
+           std::isfinite(one.processor_share) && one.processor_share >= 0 &&
+           std::isfinite(one.link_mbps) && one.link_mbps >= 0;
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size)
+{
+    const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+    static_cast<void>(decode_update(bytes));
+    const instant now = instant(std::chrono::hours(1));
+    const auto datagram = decode_datagram(bytes, now);
+    if (!datagram)
+    {
+        return 0;
+    }
+    bool good = sound(datagram->from) &&
+                datagram->kind <= datagram_kind::news &&
+                (!datagram->age || datagram->age->count() >= 0);
+    for (const member& one : datagram->news)
+    {
+        good = good && sound(one);
+    }
+    // A time to come would keep a strike for longer than it should be.
+    for (const crash_strike& one : datagram->strikes)
+    {
+        good = good && one.at <= now;
+    }
+    if (!good || !decode_datagram(encode_datagram(*datagram, now), now))
+    {
+        std::abort();
+    }
+    return 0;
+}
--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace basilpath
@@ -12,6 +15,9 @@
 
 using nlohmann::json;
 
+// Strikes are told for minutes at the most.
+constexpr microseconds longest_age = std::chrono::hours(1);
+
 // Messages are arrays in MessagePack, so that names of fields take no room.
 json to_json(const member& one)
 {
@@ -21,6 +27,21 @@
                         one.processor_share, one.link_mbps});
 }
 
+// Tells whether a description can be one of a host of ours.
+bool is_sound(const member& one)
+{
+    return std::isfinite(one.processor_share) && one.processor_share >= 0 &&
+           std::isfinite(one.link_mbps) && one.link_mbps >= 0;
+}
+
+// Reads an age; nothing when it is negative or longer than anything is told.
+std::optional<microseconds> to_age(std::int64_t us)
+{
+    const microseconds age(us);
+    return age >= microseconds(0) && age <= longest_age ? std::optional(age)
+                                                        : std::nullopt;
+}
+
 member to_member(const json& from)
 {
     member one;
@@ -124,28 +145,44 @@
 {
     return unpack<peer_datagram>(
         bytes,
-        [now](const json& message)
+        [now](const json& message) -> std::optional<peer_datagram>
         {
             peer_datagram datagram;
             datagram.kind = static_cast<datagram_kind>(
                 std::min(message.at(0).get<unsigned>(),
                          static_cast<unsigned>(datagram_kind::news)));
             datagram.from = to_member(message.at(1));
+            if (!is_sound(datagram.from))
+            {
+                return std::nullopt;
+            }
             datagram.revision = message.at(2).get<store_revision>();
             if (!message.at(3).is_null())
             {
                 datagram.age = milliseconds(message.at(3).get<std::int64_t>());
+                if (*datagram.age < milliseconds(0))
+                {
+                    return std::nullopt;
+                }
             }
             for (const json& one : message.at(4))
             {
                 datagram.news.push_back(to_member(one));
+                if (!is_sound(datagram.news.back()))
+                {
+                    return std::nullopt;
+                }
             }
             for (const json& one : message.at(5))
             {
+                const auto age = to_age(one.at(2).get<std::int64_t>());
+                if (!age)
+                {
+                    return std::nullopt;
+                }
                 datagram.strikes.push_back(
                     {fingerprint(one.at(0).get<std::uint64_t>()),
-                     leaf_id(one.at(1).get<std::string>()),
-                     now - microseconds(one.at(2).get<std::int64_t>())});
+                     leaf_id(one.at(1).get<std::string>()), now - *age});
             }
             if (message.size() > 6)
             {
--- a/test/node_roster_test.cpp
+++ b/test/node_roster_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -137,6 +138,35 @@
     CHECK(ranks.size() == names.size());
 }
 
+TEST_CASE("a datagram with figures that no host has is not read")
+{
+    peer_datagram sent;
+    sent.strikes.push_back({fingerprint(1), leaf_id("i-1"), at(0us)});
+    sent.news.emplace_back();
+    REQUIRE(decode_datagram(encode_datagram(sent, at(0us)), at(0us)));
+    SECTION("a negative share of a core")
+    {
+        sent.from.processor_share = -1;
+    }
+    SECTION("a bandwidth without bound, of another host")
+    {
+        sent.news[0].link_mbps = std::numeric_limits<double>::infinity();
+    }
+    SECTION("a view that was confirmed in the time to come")
+    {
+        sent.age = milliseconds(-1);
+    }
+    SECTION("a strike in the time to come, which would be kept too long")
+    {
+        sent.strikes[0].at = at(1us);
+    }
+    SECTION("a strike older than any that is told")
+    {
+        sent.strikes[0].at = at(0us) - std::chrono::hours(24);
+    }
+    CHECK_FALSE(decode_datagram(encode_datagram(sent, at(0us)), at(0us)));
+}
+
 TEST_CASE("datagrams are read as they were written, and garbage is not")
 {
     peer_datagram sent;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -73,6 +73,42 @@
     CHECK(read_settings(odd.dump()).settings);
 }
 
+TEST_CASE("addresses that cannot be bound are named, not met at the start")
+{
+    for (const char* const field : {"front", "ready", "directory"})
+    {
+        json wrong = sample_settings();
+        wrong["bindAddrs"][field] = GENERATE(as<std::string>{}, "10.1.0.9",
+                                             "10.1.0.9:8q08", "host:80", "");
+        const auto read = read_settings(wrong.dump());
+        CHECK_FALSE(read.settings);
+        CHECK(read.reason.find(field) != std::string::npos);
+    }
+    json wrong = sample_settings();
+    wrong["portRange"] = {GENERATE(0, -1, 65'536)};
+    CHECK_FALSE(read_settings(wrong.dump()).settings);
+}
+
+TEST_CASE("bounds that make no sense keep their defaults")
+{
+    json wrong = sample_settings();
+    wrong["bounds"] = {{"graceS", 1e300},     {"drainMs", -5},
+                       {"budgetWindowS", 0},  {"retryBudgetRatio", -0.2},
+                       {"ttl_max_s", "five"}, {"budgetSlack", nullptr}};
+    wrong["limits"] = {{"cpuShare", 0}, {"linkMbps", -1}};
+    const auto read = read_settings(wrong.dump());
+    REQUIRE(read.settings);
+    const node_settings usual;
+    CHECK(read.settings->stop_within == usual.stop_within);
+    CHECK(read.settings->leave_within == usual.leave_within);
+    CHECK(read.settings->repeat_window == usual.repeat_window);
+    CHECK(read.settings->repeat_ratio == usual.repeat_ratio);
+    CHECK(read.settings->repeat_slack == usual.repeat_slack);
+    CHECK(read.settings->directory_keep == usual.directory_keep);
+    CHECK(read.settings->processor_share == usual.processor_share);
+    CHECK(read.settings->link_mbps == usual.link_mbps);
+}
+
 json sample_configuration()
 {
     return json::parse(R"({"version": 7,
@@ -141,6 +177,60 @@
     REQUIRE(std::holds_alternative<std::shared_ptr<const route_table>>(item));
 }
 
+TEST_CASE("a route that can answer nothing is left out, the others hold")
+{
+    const auto [field, value] =
+        GENERATE(table<std::string, json>({{"prefix", "u/"},
+                                           {"prefix", "/u"},
+                                           {"backend", 3},
+                                           {"gather", json::array()}}));
+    json wrong = sample_configuration();
+    json& changed = wrong["routes"][1];
+    if (field == "gather")
+    {
+        changed.erase("backend");
+    }
+    changed[field] = value;
+    const auto item = decode_item({"op/config", wrong.dump(), 3});
+    const auto& table = std::get<std::shared_ptr<const route_table>>(item);
+    CHECK(table->route_count() == 2);
+    CHECK(table->find("h", "/g/x"));
+}
+
+TEST_CASE("figures of a configuration that make no sense keep their defaults")
+{
+    json wrong = sample_configuration();
+    wrong["routes"][0]["timeoutMs"] = -1;
+    wrong["routes"][0]["attempts"] = 1e18;
+    wrong["routes"][0]["minCoverage"] = 1.5;
+    wrong["routes"][2]["trafficSplit"][0]["weight"] = -3;
+    wrong["backends"][0]["maxConns"] = 0;
+    wrong["limits"] = {{"maxHeaderBytes", 0}, {"idleTimeoutMs", -1}};
+    const auto item = decode_item({"op/config", wrong.dump(), 3});
+    const auto& table = std::get<std::shared_ptr<const route_table>>(item);
+    const route& gathers = *table->find("h", "/g/x");
+    CHECK(gathers.timeout > 0ms);
+    CHECK(gathers.attempts == 1);
+    CHECK(gathers.gather.least.value == 1.0);
+    CHECK(table->find("h", "/w/x")->parts[0].weight == 1.0);
+    CHECK(table->service(service_name("b"))->connections == 1);
+    const caller_limits usual;
+    CHECK(table->limits().header_bytes == usual.header_bytes);
+    CHECK(table->limits().idle_timeout == usual.idle_timeout);
+}
+
+TEST_CASE("an entry without an address that can be called is no replica")
+{
+    const std::string address =
+        GENERATE(as<std::string>{}, "10..1:00.80", "10.0.0.1", "leaf:80", "");
+    const json entry = {{"backend", "b"},
+                        {"address", address},
+                        {"slots", 2},
+                        {"state", "ready"}};
+    CHECK(std::holds_alternative<unusable_item>(
+        decode_item({"servers/i-1", entry.dump(), 1})));
+}
+
 TEST_CASE("an entry of a replica is read, and its removal")
 {
     const auto item = decode_item(
