Take the shares of a replica and the latencies of routes out of the pool

The wait before a second call and the end of a request stood in two policies.

Change: replica_share.hpp holds the shares of connections and slots as pure functions that name the load they answer; route_latencies.hpp the quantiles; request_timing.hpp what both policies reckon alike. No decision changed.

--- a/src/node/process/gather_policy.cpp
+++ b/src/node/process/gather_policy.cpp
@@ -1,5 +1,7 @@
 #include "node/process/gather_policy.hpp"
 
+#include "node/process/request_timing.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -12,34 +14,20 @@
 namespace
 {
 
-// Bounds on the wait before a second replica is asked, as shares of the
-// objective: sooner wastes the budget of repeats, later misses the objective.
-constexpr double least_hedge_share = 0.12;
-constexpr double most_hedge_share = 0.35;
+// Sooner wastes the budget of repeats, later misses the objective.
+constexpr hedge_bounds hedging{0.12, 0.35};
 
 // Time for merging and sending the answer, and for the other work that a host
 // may have in hand at that moment.
 constexpr microseconds answer_work = 4ms;
 
-// Time kept before the end so that a refusal still reaches the caller.
-constexpr microseconds deadline_margin = 20ms;
-
-microseconds share_of(milliseconds whole, double share)
-{
-    return microseconds(static_cast<std::int64_t>(
-        share * 1000.0 * static_cast<double>(whole.count())));
-}
-
 } // namespace
 
 gather_plan plan_gather(const route& rule, const gather_times& times)
 {
     gather_plan plan;
-    plan.hedge_after =
-        std::clamp(times.slow, share_of(rule.objective, least_hedge_share),
-                   share_of(rule.objective, most_hedge_share));
-    const milliseconds patience = std::min(times.patience, rule.timeout);
-    plan.deadline = times.arrived + patience - deadline_margin;
+    plan.hedge_after = hedge_wait(rule, times.slow, hedging);
+    plan.deadline = answer_deadline(rule, times.arrived, times.patience);
     const microseconds left =
         rule.objective - times.spent - times.return_trip - answer_work;
     plan.cutoff = times.arrived + std::max(left, 0us);
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -4,12 +4,12 @@
 #include "node/connection/target_connection.hpp"
 #include "node/process/call_queue.hpp"
 #include "node/process/placement.hpp"
-#include "node/process/route_latency.hpp"
+#include "node/process/replica_share.hpp"
+#include "node/process/route_latencies.hpp"
 #include "node/process/target_health.hpp"
 #include "node/request/target_call.hpp"
 #include "node/version/replica.hpp"
 #include "node/version/route_table.hpp"
-#include "process/latency_tracker.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -108,14 +108,6 @@
 
     using entry_pointer = std::shared_ptr<entry>;
 
-    /// Latencies of one route and the quantiles last taken from them.
-    struct route_statistics
-    {
-        latency_tracker recent;
-        route_latency now;
-        unsigned since_update = 0;
-    };
-
     void open(const entry_pointer& one);
     void dispatch(const entry_pointer& one);
     void end_calls(const entry_pointer& one,
@@ -128,24 +120,20 @@
                      target_result result);
     void take_closed(const entry_pointer& one,
                      const std::shared_ptr<connection>& ended, bool made);
-    void note_latency(const std::string& route, instant now,
-                      microseconds latency);
     void sweep_entry(const entry_pointer& one, instant now);
     boost::asio::awaitable<void> sweep();
     boost::asio::awaitable<void> probe(entry_pointer one);
     [[nodiscard]] std::size_t connection_bound(const entry& one) const;
-    void close_connections(const entry_pointer& one);
     static instant now();
 
     boost::asio::io_context& context;
     failure_domain own_domain;
     std::map<leaf_id, entry_pointer> entries;
     std::map<service_name, std::vector<entry_pointer>> by_service;
-    std::map<std::string, route_statistics> routes;
+    route_latencies latencies;
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
-    std::size_t serving_count = 1;
-    bool serves = false;
+    serving_hosts hosts;
     std::function<void(const leaf_id&, instant)> told_refused;
 };
 
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -35,28 +35,9 @@
 /// An idle connection is closed this much before the replica would.
 inline constexpr milliseconds idle_margin{1'000};
 
-/// Calls beyond its slots that hosts together keep at a replica, so that its
-/// slots are never empty; what waits longer waits here, where it is ordered.
-inline constexpr std::size_t queue_places = 1;
-
-/// Part of a replica's connections that the hosts that serve callers share.
-/// The rest is for health checks, for callers that keep an old answer of the
-/// directory, and for hosts that do not agree on who serves.
-inline constexpr std::size_t shared_percent = 80;
-
 /// How long a health check may take.
 inline constexpr milliseconds probe_limit{400};
 
-/// What a call is taken to last before any has been seen.
-inline constexpr microseconds first_usual{10'000};
-inline constexpr microseconds first_slow{30'000};
-
-/// Share of the calls of a route that are not stragglers.
-inline constexpr double straggler_quantile = 0.92;
-
-/// Quantiles are taken anew after this many calls.
-inline constexpr unsigned update_calls = 32;
-
 } // namespace target_pool_bounds
 
 template <target_codec Codec>
@@ -94,7 +75,7 @@
         one, target_health(one.slots, one.warmup, now()), {}, {}, {}, false});
     this->entries[one.id] = made;
     this->by_service[one.service].push_back(made);
-    if (this->serves)
+    if (this->hosts.own)
     {
         this->open(made);
     }
@@ -157,9 +138,8 @@
 template <target_codec Codec>
 void target_pool<Codec>::set_serving(std::size_t hosts, bool serving)
 {
-    this->serving_count = std::max<std::size_t>(hosts, 1);
-    const bool begins = serving && !this->serves;
-    this->serves = serving;
+    const bool begins = serving && !this->hosts.own;
+    this->hosts = {std::max<std::size_t>(hosts, 1), serving};
     if (!begins)
     {
         return;
@@ -233,14 +213,7 @@
 template <target_codec Codec>
 route_latency target_pool<Codec>::latency(const std::string& route) const
 {
-    const auto found = this->routes.find(route);
-    if (found == this->routes.end() ||
-        found->second.now.usual == microseconds(0))
-    {
-        return {target_pool_bounds::first_usual,
-                target_pool_bounds::first_slow};
-    }
-    return found->second.now;
+    return this->latencies.of(route);
 }
 
 // Opens one more connection; it serves the calls that wait once it is made.
@@ -345,21 +318,15 @@
     return found == one.connections.end() ? nullptr : *found;
 }
 
-// Tells whether one more call of this host may go to a replica now: within its
-// share of the slots and of a short queue, or into a slot that is free.
 template <target_codec Codec>
 bool target_pool<Codec>::has_room(const entry& one) const
 {
-    const auto own = static_cast<std::size_t>(
+    const auto own =
         std::ranges::count_if(one.connections, [](const auto& open)
-                              { return open->carried() != nullptr; }));
-    const std::size_t places =
-        one.target.slots + target_pool_bounds::queue_places;
-    const std::size_t share =
-        (places + this->serving_count - 1) / this->serving_count;
-    const double all = static_cast<double>(own) + one.health.others(now());
-    return own < std::max<std::size_t>(share, 1) ||
-           all + 1.0 <= static_cast<double>(one.target.slots);
+                              { return open->carried() != nullptr; });
+    return may_send({one.target.slots, static_cast<std::size_t>(own),
+                     one.health.others(now())},
+                    this->hosts);
 }
 
 template <target_codec Codec>
@@ -373,7 +340,7 @@
         const bool good = result.reply.success();
         if (good)
         {
-            this->note_latency(call->route, time, result.latency);
+            this->latencies.note(call->route, time, result.latency);
         }
         one->health.on_answer(time, result.latency,
                               this->latency(call->route).usual,
@@ -453,25 +420,6 @@
     }
 }
 
-template <target_codec Codec>
-void target_pool<Codec>::note_latency(const std::string& route, instant now,
-                                      microseconds latency)
-{
-    route_statistics& statistics = this->routes[route];
-    statistics.recent.record(now, latency);
-    if (statistics.since_update++ % target_pool_bounds::update_calls != 0)
-    {
-        return;
-    }
-    const auto middle = statistics.recent.quantile(0.5);
-    const auto slow =
-        statistics.recent.quantile(target_pool_bounds::straggler_quantile);
-    if (middle && slow)
-    {
-        statistics.now = {*middle, *slow};
-    }
-}
-
 template <target_codec Codec>
 void target_pool<Codec>::sweep_entry(const entry_pointer& one, instant time)
 {
@@ -567,9 +515,7 @@
     const service_rule* rule =
         this->table ? this->table->service(one.target.service) : nullptr;
     const std::size_t limit = rule ? rule->connections : one.target.slots;
-    const std::size_t shared = limit * target_pool_bounds::shared_percent / 100;
-    return this->serves ? std::max<std::size_t>(1, shared / this->serving_count)
-                        : 1;
+    return connection_share(limit, this->hosts);
 }
 
 template <target_codec Codec>
