--- a/src/node/process/target_health.cpp
+++ b/src/node/process/target_health.cpp
@@ -199,6 +199,7 @@
 {
     this->report = load;
     this->report_at = now;
+    this->has_reported = true;
     const double all = static_cast<double>(load.running + load.waiting);
     this->report_others =
         std::max(0.0, all - static_cast<double>(this->sent_at.size()));
--- a/src/node/process/target_health.hpp
+++ b/src/node/process/target_health.hpp
@@ -73,7 +73,7 @@
     /// How long ago the replica last told its load; nothing when it has not.
     [[nodiscard]] std::optional<milliseconds> report_age(instant now) const
     {
-        if (this->report_at == instant{})
+        if (!this->has_reported)
         {
             return std::nullopt;
         }
@@ -119,6 +119,7 @@
 
     replica_load report;
     instant report_at{};
+    bool has_reported = false;
 
     /// Requests of other hosts that the report implies.
     double report_others = 0.0;
--- a/test/node_decisions_test.cpp
+++ b/test/node_decisions_test.cpp
@@ -97,6 +97,14 @@
     CHECK(chosen(replicas, at(500ms)) == "near");
 }
 
+TEST_CASE("the age of a replica's report is told once it has reported")
+{
+    target_health health(2, milliseconds(0), at(0us));
+    CHECK_FALSE(health.report_age(at(50ms)));
+    health.on_probe(at(100ms), true, replica_load{1, 0, 2, 1.0});
+    CHECK(health.report_age(at(140ms)) == 40ms);
+}
+
 TEST_CASE("the load that a replica reports counts for a moment")
 {
     std::vector<test_replica> replicas{make_replica("far", "b"),
--- a/test/node_gather_test.cpp
+++ b/test/node_gather_test.cpp
@@ -222,6 +222,39 @@
     CHECK(node.replies.size() == 1);
 }
 
+TEST_CASE(
+    "at the crest, what replicas shed is asked elsewhere before slow calls "
+    "are asked twice")
+{
+    // All calls are slow enough for a second one, and every replica "a" sheds
+    // some: the budget does not suffice for both.
+    node_session_fixture node(4, 1.0);
+    std::size_t sent = 0;
+    std::size_t sheds = 0;
+    node.targets.behave = [&](const target_call& call, std::size_t)
+    {
+        // No multiple of the shards, so that each of them sheds its part.
+        constexpr std::size_t shed_every = 21;
+        if (call.to.value.ends_with("-a") && sent++ % shed_every == 0)
+        {
+            ++sheds;
+            return shed();
+        }
+        return good_answer(call.to.value, 60ms);
+    };
+    constexpr std::size_t queries = 400;
+    for (std::size_t i = 0; i < queries; ++i)
+    {
+        node.start("/all/x");
+        node.run.run_until(10ms * (i + 1));
+    }
+    node.run.run_until(10s);
+    REQUIRE(node.replies.size() == queries);
+    CHECK(sheds > queries * 4 / 25);
+    CHECK(std::ranges::all_of(node.replies, [](const caller_reply& one)
+                              { return one.status == 200; }));
+}
+
 TEST_CASE("repeats stay within the budget when every replica is slow")
 {
     node_session_fixture node;
