Wait for the first part before a query is taken for one that breaks calls

Change: while no part is in and three calls have broken, broken calls wait for the other shards: they are made again once a part is in, and the query ends once no call is left. No second call is made meanwhile.

Both new tests failed before.

--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -82,6 +82,10 @@
         /// Calls that left or still may.
         std::size_t sends = 0;
 
+        /// Its call failed, and whether another is made depends on the other
+        /// shards: the query may be what breaks calls.
+        bool held = false;
+
         /// A call has reached a replica, so that a further one is a repeat.
         bool arrived = false;
     };
@@ -102,6 +106,9 @@
     void note_result(const shard_event& event);
     void take(shard_event event);
     void retry_or_fail(std::size_t shard);
+    void settle_held();
+    [[nodiscard]] bool is_suspect() const;
+    [[nodiscard]] bool may_ask_again(const shard_state& state) const;
     void hedge_due(instant now);
     [[nodiscard]] instant next_wake(instant now) const;
     [[nodiscard]] bool out_of_reach() const;
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -262,9 +262,11 @@
                                          gather_bounds::withdrawal_grace);
         }
         state.calls.clear();
+        this->settle_held();
         return;
     }
     this->retry_or_fail(event.shard);
+    this->settle_held();
 }
 
 template <runtime Runtime, target_transport Transport>
@@ -284,10 +286,13 @@
 void gather_session<Runtime, Transport>::retry_or_fail(std::size_t shard)
 {
     shard_state& state = this->shards[shard];
-    const bool suspect = this->parts == 0 &&
-                         this->broken.size() >= gather_bounds::suspect_breaks;
-    if (state.sends < this->rule.attempts && !suspect)
+    if (state.sends < this->rule.attempts)
     {
+        if (this->is_suspect())
+        {
+            state.held = state.calls.empty();
+            return;
+        }
         this->ask(shard);
     }
     if (state.calls.empty() && !state.failed)
@@ -297,6 +302,55 @@
     }
 }
 
+// Decides on the shards that wait for others to show whether the query breaks
+// calls: they are asked again once a part is in, and have failed once no call
+// is left that could bring one.
+template <runtime Runtime, target_transport Transport>
+void gather_session<Runtime, Transport>::settle_held()
+{
+    const bool any_call =
+        std::ranges::any_of(this->shards, [](const shard_state& one)
+                            { return !one.calls.empty(); });
+    if (this->is_suspect() && any_call)
+    {
+        return;
+    }
+    for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
+    {
+        shard_state& state = this->shards[shard];
+        if (!std::exchange(state.held, false))
+        {
+            continue;
+        }
+        if (!this->is_suspect())
+        {
+            this->ask(shard);
+        }
+        if (state.calls.empty() && !state.failed)
+        {
+            state.failed = true;
+            ++this->failures;
+        }
+    }
+}
+
+// Tells whether the query may be what breaks calls.
+template <runtime Runtime, target_transport Transport>
+bool gather_session<Runtime, Transport>::is_suspect() const
+{
+    return this->parts == 0 &&
+           this->broken.size() >= gather_bounds::suspect_breaks;
+}
+
+// Tells whether a shard that is slow is asked a second time when it is due.
+template <runtime Runtime, target_transport Transport>
+bool gather_session<Runtime, Transport>::may_ask_again(
+    const shard_state& state) const
+{
+    return !state.part && !state.failed && !state.held &&
+           state.sends < this->rule.attempts && !this->is_suspect();
+}
+
 // Asks a second replica of the shards that have been quiet for too long.
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::hedge_due(instant time)
@@ -304,10 +358,7 @@
     for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
     {
         shard_state& state = this->shards[shard];
-        const bool due = !state.part && !state.failed &&
-                         state.sends < this->rule.attempts &&
-                         time >= state.hedge_at;
-        if (due)
+        if (this->may_ask_again(state) && time >= state.hedge_at)
         {
             this->ask(shard);
             state.hedge_at = this->plan.deadline;
@@ -325,7 +376,7 @@
     }
     for (const shard_state& state : this->shards)
     {
-        if (!state.part && !state.failed && state.sends < this->rule.attempts)
+        if (this->may_ask_again(state))
         {
             next = std::min(next, state.hedge_at);
         }
--- a/test/node_gather_test.cpp
+++ b/test/node_gather_test.cpp
@@ -255,6 +255,42 @@
                               { return one.status == 200; }));
 }
 
+TEST_CASE("calls that break before any could be answered do not end a query")
+{
+    // Answers of many leafs are lost at once, the others come later.
+    node_session_fixture node(8, 1.0);
+    node.targets.behave = [](const target_call& call, std::size_t sent)
+    {
+        return sent < 5 ? lost(call_end::broken, 1ms)
+                        : good_answer(call.to.value, 20ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 200);
+    CHECK(node.replies[0].missing_parts == 0);
+    CHECK(node.answered_at[0] < 100ms);
+}
+
+TEST_CASE("a query that breaks every call is not sent to further replicas")
+{
+    node_session_fixture node(8, 0.5);
+    std::size_t calls = 0;
+    node.targets.behave = [&calls](const target_call&, std::size_t sent)
+    {
+        ++calls;
+        // The later ones are slow enough for a second call.
+        return lost(call_end::broken, sent < 5 ? 1ms : 60ms);
+    };
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 502);
+    // Two were asked again before the third broke.
+    CHECK(calls <= 8 + 2);
+    CHECK(node.answered_at[0] < 100ms);
+}
+
 TEST_CASE("repeats stay within the budget when every replica is slow")
 {
     node_session_fixture node;
