explain: of each host only the belief at the end of a request and the next

Change: the last line of each host on each such replica before the request ended, and the first after it.

--- a/src/process/request_story.cpp
+++ b/src/process/request_story.cpp
@@ -4,6 +4,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <ranges>
 #include <set>
@@ -94,29 +95,34 @@
 std::string describe_missing(const std::map<long long, shard_course>& courses,
                              std::string_view noun)
 {
-    std::map<std::string, std::pair<std::size_t, std::set<std::string>>>
-        reasons;
+    struct missing_shards
+    {
+        std::size_t count = 0;
+        std::set<std::string> replicas;
+    };
+    std::map<std::string, missing_shards> reasons;
     for (const auto& [shard, course] : courses)
     {
         if (!course.answered)
         {
-            auto& [count, replicas] = reasons[reason_of(course)];
-            ++count;
-            if (!course.replica.empty() && replicas.size() < named_replicas)
+            missing_shards& missing = reasons[reason_of(course)];
+            ++missing.count;
+            if (!course.replica.empty() &&
+                missing.replicas.size() < named_replicas)
             {
-                replicas.insert(course.replica);
+                missing.replicas.insert(course.replica);
             }
         }
     }
     std::vector<std::string> texts;
     for (const auto& [reason, missing] : reasons)
     {
-        const auto& [count, replicas] = missing;
         texts.push_back(fmt::format(
-            "{} {}{}: {}{}", count, noun, count == 1 ? "" : "s", reason,
-            replicas.empty()
+            "{} {}{}: {}{}", missing.count, noun, missing.count == 1 ? "" : "s",
+            reason,
+            missing.replicas.empty()
                 ? ""
-                : fmt::format(" ({})", fmt::join(replicas, ", "))));
+                : fmt::format(" ({})", fmt::join(missing.replicas, ", "))));
     }
     return fmt::format("{}", fmt::join(texts, "; "));
 }
@@ -124,13 +130,12 @@
 // Names the call that was answered last, for which a whole answer waited.
 std::string describe_last(const request_story& story, const std::string& host)
 {
-    auto answers =
-        story.events() |
-        std::views::filter(
-            [&host](const story_line& one) {
-                return one.host == host &&
-                       one.line.value("event") == "call_answered";
-            });
+    auto answers = story.events() |
+                   std::views::filter(
+                       [&host](const story_line& one) {
+                           return one.host == host &&
+                                  one.line.value("event") == "call_answered";
+                       });
     const auto last = std::ranges::max_element(
         answers, {},
         [](const story_line& one) { return one.line.number("at_us"); });
@@ -173,10 +178,38 @@
     {
         asked.insert(one.line.value("replica"));
     }
+    // The form of times makes their order that of their text.
+    const std::string ended =
+        this->ends.empty() ? "" : this->ends.front().line.value("time");
+    using place = std::pair<std::string, std::string>;
+    std::map<place, std::size_t> before;
+    std::map<place, std::size_t> after;
+    for (std::size_t i = 0; i < this->on_replicas.size(); ++i)
+    {
+        const story_line& one = this->on_replicas[i];
+        const std::string& replica = one.line.value("replica");
+        if (!asked.contains(replica))
+        {
+            continue;
+        }
+        if (one.line.value("time") <= ended)
+        {
+            before[{one.host, replica}] = i;
+        }
+        else
+        {
+            after.try_emplace({one.host, replica}, i);
+        }
+    }
+    std::set<std::size_t> kept;
+    std::ranges::copy(before | std::views::values,
+                      std::inserter(kept, kept.end()));
+    std::ranges::copy(after | std::views::values,
+                      std::inserter(kept, kept.end()));
     std::vector<story_line> result;
-    std::ranges::copy_if(this->on_replicas, std::back_inserter(result),
-                         [&asked](const story_line& one)
-                         { return asked.contains(one.line.value("replica")); });
+    std::ranges::transform(kept, std::back_inserter(result),
+                           [this](std::size_t i)
+                           { return this->on_replicas[i]; });
     return result;
 }
 
@@ -191,9 +224,8 @@
     const auto known = without_calls.find(name);
     std::string text = known == without_calls.end() ? "" : known->second;
     const std::string missing =
-        describe_missing(
-        courses_on(story, outcome.host),
-        outcome.line.number("shards") == 0 ? "call" : "shard");
+        describe_missing(courses_on(story, outcome.host),
+                         outcome.line.number("shards") == 0 ? "call" : "shard");
     if (!missing.empty())
     {
         text += (text.empty() ? "" : "; ") + missing;
--- a/src/process/request_story.hpp
+++ b/src/process/request_story.hpp
@@ -48,7 +48,8 @@
         return this->ends;
     }
 
-    /// Changes of belief on the replicas that were asked, on any host.
+    /// What each host last noted of the replicas that were asked before the
+    /// request ended, and first noted after it, by the host's own clock.
     [[nodiscard]] std::vector<story_line> beliefs() const;
 
 private:
--- a/test/request_story_test.cpp
+++ b/test/request_story_test.cpp
@@ -79,6 +79,30 @@
     CHECK(story.beliefs()[0].line.value("event") == "replica_down");
 }
 
+TEST_CASE("of each host the last belief before the end counts, and the next")
+{
+    request_story story("r1");
+    const auto note =
+        [&story](const std::string& second, const std::string& fields)
+    {
+        const auto line = log_line::parse("time=2026-12-04T06:24:" + second +
+                                          "Z host=n1 " + fields);
+        REQUIRE(line);
+        story.add("log", *line);
+    };
+    note("01.000", "event=replica_up replica=i-1");
+    note("02.000", "event=replica_down replica=i-1");
+    note("02.500", "event=replica_down replica=i-2");
+    note("03.000", "event=call_first request=r1 shard=0 replica=i-1");
+    note("03.000", "event=request request=r1 outcome=answered");
+    note("04.000", "event=replica_up replica=i-1");
+    note("05.000", "event=replica_gone replica=i-1");
+    const auto beliefs = story.beliefs();
+    REQUIRE(beliefs.size() == 2);
+    CHECK(beliefs[0].line.value("event") == "replica_down");
+    CHECK(beliefs[1].line.value("event") == "replica_up");
+}
+
 TEST_CASE("a partial answer names the shards that are missing")
 {
     request_story story("r1");
