--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -109,9 +109,9 @@
     const decision kind = !repeat               ? decision::call_first
                           : this->calls.empty() ? decision::call_retry
                                                 : decision::call_hedge;
-    this->journal.add({kind, time, 0, candidates[choice->index].target->id,
-                       choice->expected, health.outstanding(),
-                       health.report_age(time)});
+    this->journal.add(call_made(kind, time, 0,
+                                candidates[choice->index].target->id,
+                                choice->expected, health));
     const auto call = std::make_shared<target_call>();
     call->query = this->query;
     call->to = candidates[choice->index].target->id;
@@ -156,8 +156,7 @@
         if (unsent(call))
         {
             this->shared.targets.give_up(call, milliseconds(0));
-            this->journal.add(
-                {decision::taken_back, this->now(), 0, call->to, {}, 0, {}});
+            this->journal.add(call_taken_back(this->now(), 0, *call));
             --this->sends;
         }
     }
@@ -170,13 +169,8 @@
 forward_session<Runtime, Transport>::take(call_event event)
 {
     std::erase(this->calls, event.call);
-    this->journal.add({to_decision(event.result),
-                       this->now(),
-                       0,
-                       event.call ? event.call->to : leaf_id{},
-                       event.result.latency,
-                       event.result.reply.status,
-                       {}});
+    this->journal.add(
+        call_ended(this->now(), 0, event.call.get(), event.result));
     target_result& result = event.result;
     if (result.end == call_end::unsent)
     {
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -160,8 +160,8 @@
                                                 : decision::call_hedge;
     this->repeats += repeat ? 1 : 0;
     const target_health& health = *candidates[choice->index].health;
-    this->journal.add({kind, time, shard, chosen, choice->expected,
-                       health.outstanding(), health.report_age(time)});
+    this->journal.add(
+        call_made(kind, time, shard, chosen, choice->expected, health));
     state.hedge_at = time + this->plan.hedge_after;
     this->start_call(shard, chosen);
 }
@@ -188,14 +188,9 @@
         if (unsent(call))
         {
             this->shared.targets.give_up(call, milliseconds(0));
-            this->journal.add(
-                {decision::taken_back,
-                 this->now(),
-                 static_cast<std::size_t>(&state - this->shards.data()),
-                 call->to,
-                 {},
-                 0,
-                 {}});
+            this->journal.add(call_taken_back(
+                this->now(),
+                static_cast<std::size_t>(&state - this->shards.data()), *call));
             --state.sends;
         }
     }
@@ -272,13 +267,8 @@
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::note_result(const shard_event& event)
 {
-    this->journal.add({to_decision(event.result),
-                       this->now(),
-                       event.shard,
-                       event.call ? event.call->to : leaf_id{},
-                       event.result.latency,
-                       event.result.reply.status,
-                       {}});
+    this->journal.add(
+        call_ended(this->now(), event.shard, event.call.get(), event.result));
 }
 
 // A call of this shard failed: asks another replica while that is allowed.
--- a/src/node/request/request_journal.cpp
+++ b/src/node/request/request_journal.cpp
@@ -14,6 +14,45 @@
     return names.at(static_cast<std::size_t>(what));
 }
 
+decision_record call_made(decision kind, instant at, std::size_t shard,
+                          const leaf_id& replica, microseconds expected,
+                          const target_health& health)
+{
+    decision_record record;
+    record.what = kind;
+    record.at = at;
+    record.shard = shard;
+    record.replica = replica;
+    record.time = expected;
+    record.number = health.outstanding();
+    record.load_age = health.report_age(at);
+    return record;
+}
+
+decision_record call_ended(instant at, std::size_t shard,
+                           const target_call* call, const target_result& result)
+{
+    decision_record record;
+    record.what = to_decision(result);
+    record.at = at;
+    record.shard = shard;
+    record.replica = call ? call->to : leaf_id{};
+    record.time = result.latency;
+    record.number = result.reply.status;
+    return record;
+}
+
+decision_record call_taken_back(instant at, std::size_t shard,
+                                const target_call& call)
+{
+    decision_record record;
+    record.what = decision::taken_back;
+    record.at = at;
+    record.shard = shard;
+    record.replica = call.to;
+    return record;
+}
+
 decision_record no_call(decision why, instant at, std::size_t shard,
                         const service_name& service,
                         const unavailable_replicas& unavailable)
--- a/src/node/request/request_journal.hpp
+++ b/src/node/request/request_journal.hpp
@@ -66,6 +66,20 @@
     unavailable_replicas unavailable;
 };
 
+/// The record of a call that is made to a replica of a shard.
+[[nodiscard]] decision_record
+call_made(decision kind, instant at, std::size_t shard, const leaf_id& replica,
+          microseconds expected, const target_health& health);
+
+/// The record of the result of a call, which may be gone.
+[[nodiscard]] decision_record call_ended(instant at, std::size_t shard,
+                                         const target_call* call,
+                                         const target_result& result);
+
+/// The record of a call that was taken back before it had left.
+[[nodiscard]] decision_record call_taken_back(instant at, std::size_t shard,
+                                              const target_call& call);
+
 /// The record of a call that was wanted and not made.
 [[nodiscard]] decision_record no_call(decision why, instant at,
                                       std::size_t shard,
--- a/src/process/request_story.cpp
+++ b/src/process/request_story.cpp
@@ -115,6 +115,7 @@
         }
     }
     std::vector<std::string> texts;
+    texts.reserve(reasons.size());
     for (const auto& [reason, missing] : reasons)
     {
         texts.push_back(fmt::format(
