--- a/src/node/request/request_journal.cpp
+++ b/src/node/request/request_journal.cpp
@@ -5,6 +5,20 @@
 namespace basilpath
 {
 
+namespace
+{
+
+decision_record record_of(decision what, instant at, std::size_t shard)
+{
+    decision_record record;
+    record.what = what;
+    record.at = at;
+    record.shard = shard;
+    return record;
+}
+
+} // namespace
+
 std::string_view to_text(decision what)
 {
     static constexpr std::array<std::string_view, 11> names = {
@@ -18,10 +32,7 @@
                           const leaf_id& replica, microseconds expected,
                           const target_health& health)
 {
-    decision_record record;
-    record.what = kind;
-    record.at = at;
-    record.shard = shard;
+    decision_record record = record_of(kind, at, shard);
     record.replica = replica;
     record.time = expected;
     record.number = health.outstanding();
@@ -32,10 +43,7 @@
 decision_record call_ended(instant at, std::size_t shard,
                            const target_call* call, const target_result& result)
 {
-    decision_record record;
-    record.what = to_decision(result);
-    record.at = at;
-    record.shard = shard;
+    decision_record record = record_of(to_decision(result), at, shard);
     record.replica = call ? call->to : leaf_id{};
     record.time = result.latency;
     record.number = result.reply.status;
@@ -45,10 +53,7 @@
 decision_record call_taken_back(instant at, std::size_t shard,
                                 const target_call& call)
 {
-    decision_record record;
-    record.what = decision::taken_back;
-    record.at = at;
-    record.shard = shard;
+    decision_record record = record_of(decision::taken_back, at, shard);
     record.replica = call.to;
     return record;
 }
@@ -57,10 +62,7 @@
                         const service_name& service,
                         const unavailable_replicas& unavailable)
 {
-    decision_record record;
-    record.what = why;
-    record.at = at;
-    record.shard = shard;
+    decision_record record = record_of(why, at, shard);
     record.service = service;
     record.unavailable = unavailable;
     return record;
