--- a/src/node/connection/http_server.cpp
+++ b/src/node/connection/http_server.cpp
@@ -190,7 +190,7 @@
         this->sweep_timer.expires_after(sweep_interval);
         const auto [stopped] = co_await this->sweep_timer.async_wait(
             asio::as_tuple(asio::use_awaitable));
-        if (stopped)
+        if (stopped || !this->state->handler)
         {
             co_return;
         }
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -219,6 +219,22 @@
     CHECK(table->limits().idle_timeout == usual.idle_timeout);
 }
 
+TEST_CASE("a split whose weights are all zero is shared alike")
+{
+    json zero = sample_configuration();
+    zero["routes"][2]["trafficSplit"][0]["weight"] = 0;
+    const auto one_zero = decode_item({"op/config", zero.dump(), 3});
+    const auto& used = std::get<std::shared_ptr<const route_table>>(one_zero);
+    CHECK(used->find("h", "/w/x")->parts[0].weight == 0.0);
+    CHECK(used->find("h", "/w/x")->parts[1].weight == 1.0);
+    zero["routes"][2]["trafficSplit"][1]["weight"] = 0;
+    const auto all_zero = decode_item({"op/config", zero.dump(), 3});
+    const auto& table = std::get<std::shared_ptr<const route_table>>(all_zero);
+    REQUIRE(table->find("h", "/w/x"));
+    CHECK(table->find("h", "/w/x")->parts[0].weight == 1.0);
+    CHECK(table->find("h", "/w/x")->parts[1].weight == 1.0);
+}
+
 TEST_CASE("an entry without an address that can be called is no replica")
 {
     const std::string address =
