Hedges leave what retries wanted lately, instead of a fixed part

With nothing failing, 0.4 of the budget was left unused, and hedges are what answers the pauses of replicas there.

Change: the budget counts the retries that were wanted in the last window and leaves as many, and 0.15 of it at least for the first ones to fail.

--- a/src/node/process/repeat_budget.cpp
+++ b/src/node/process/repeat_budget.cpp
@@ -17,6 +17,10 @@
 // one do not begin together.
 constexpr double ratio_margin = 0.9;
 
+// Part that hedges leave even while no retry is wanted, so that the first calls
+// to fail are made again.
+constexpr double retry_reserve = 0.15;
+
 } // namespace
 
 void repeat_budget::set_host_count(std::size_t hosts)
@@ -31,23 +35,32 @@
 }
 
 bool repeat_budget::try_spend(const service_name& service, instant now,
-                              double reserve)
+                              repeat_kind kind)
 {
     slice& slot = this->current(service, now);
+    const bool hedge = kind == repeat_kind::hedge;
+    slot.wanted_retries += hedge ? 0 : 1;
     const history& past = this->services[service];
     const double total = this->allowed(past, slot.number);
     std::uint32_t spent = 0;
+    std::uint32_t claimed = 0;
     for (const slice& one : past)
     {
-        spent += one.number > slot.number - std::int64_t(slices) - 1
-                     ? one.repeats
-                     : 0;
+        if (one.number > slot.number - std::int64_t(slices) - 1)
+        {
+            spent += one.repeats;
+            claimed += one.hedges + one.wanted_retries;
+        }
     }
-    if (static_cast<double>(spent) + 1.0 > total * (1.0 - reserve))
+    const bool left = static_cast<double>(spent) + 1.0 <= total;
+    const bool unclaimed =
+        static_cast<double>(claimed) + 1.0 <= total * (1.0 - retry_reserve);
+    if (!left || (hedge && !unclaimed))
     {
         return false;
     }
     ++slot.repeats;
+    slot.hedges += hedge ? 1 : 0;
     return true;
 }
 
@@ -78,7 +91,7 @@
         past[static_cast<std::size_t>(number % std::int64_t(past.size()))];
     if (slot.number != number)
     {
-        slot = {number, 0, 0};
+        slot = {number, 0, 0, 0, 0};
     }
     return slot;
 }
--- a/src/node/process/repeat_budget.hpp
+++ b/src/node/process/repeat_budget.hpp
@@ -21,6 +21,13 @@
     milliseconds window{10'000};
 };
 
+/// Why a request is sent again.
+enum class repeat_kind : std::uint8_t
+{
+    retry, ///< a call failed; without another its part is lost
+    hedge  ///< a call is slow; without another its part may be late
+};
+
 /// This host's part of the bound. It spends the ratio of its own requests and
 /// an equal share of the slack, so that the sum over hosts stays within the
 /// bound whatever each of them sees. Answers the load in which many replicas
@@ -42,10 +49,10 @@
     /// Notes a caller's request for a service.
     void note_request(const service_name& service, instant now);
 
-    /// Spends one repeat; false when none is left. `reserve` is the share of
-    /// what may be spent that is to be left for more urgent repeats.
+    /// Spends one repeat; false when none is left. Hedges leave as many as
+    /// retries have wanted in the last window.
     [[nodiscard]] bool try_spend(const service_name& service, instant now,
-                                 double reserve = 0.0);
+                                 repeat_kind kind = repeat_kind::retry);
 
     /// Repeats that could be spent now.
     [[nodiscard]] double left(const service_name& service, instant now);
@@ -59,6 +66,10 @@
         std::int64_t number = -1;
         std::uint32_t requests = 0;
         std::uint32_t repeats = 0;
+        std::uint32_t hedges = 0;
+
+        /// Retries that were spent or refused.
+        std::uint32_t wanted_retries = 0;
     };
 
     using history = std::array<slice, slices + 1>;
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -15,10 +15,6 @@
 /// breaks them, and is not sent to further replicas.
 inline constexpr std::size_t suspect_breaks = 3;
 
-/// Part of the budget of repeats that second calls leave to retries: without
-/// a retry the part of a shard is lost, without a second call it may be late.
-inline constexpr double retry_reserve = 0.4;
-
 /// A call that is not waited for any more is cut at once: under load the slot
 /// that its work would take is worth more than the connection.
 inline constexpr milliseconds withdrawal_grace{0};
@@ -137,11 +133,11 @@
         this->take_back_unsent(state);
     }
     const bool repeat = this->is_repeat(state);
-    const double reserve =
-        state.calls.empty() ? 0.0 : gather_bounds::retry_reserve;
+    const repeat_kind urgency =
+        state.calls.empty() ? repeat_kind::retry : repeat_kind::hedge;
     const bool allowed =
         choice &&
-        (!repeat || this->shared.repeats.try_spend(service, time, reserve));
+        (!repeat || this->shared.repeats.try_spend(service, time, urgency));
     if (!allowed)
     {
         this->journal.add(no_call(
--- a/test/node_decisions_test.cpp
+++ b/test/node_decisions_test.cpp
@@ -271,6 +271,40 @@
     }
 }
 
+TEST_CASE(
+    "hedges have nearly the whole budget while nothing fails, and leave it "
+    "to retries that are wanted")
+{
+    const service_name service("s");
+    // Repeats of each kind in ten seconds of 100 requests a second, each of
+    // which wants a hedge, and every tenth a retry when calls fail.
+    const auto spend = [&service](bool calls_fail)
+    {
+        repeat_budget budget({0.2, 0.0, milliseconds(10'000)});
+        std::pair<int, int> granted{0, 0};
+        for (int i = 0; i < 2'000; ++i)
+        {
+            const instant time = at(i * 10ms);
+            const bool counted = i >= 1'000;
+            budget.note_request(service, time);
+            if (calls_fail && i % 10 == 0)
+            {
+                granted.second += budget.try_spend(service, time) && counted;
+            }
+            granted.first +=
+                budget.try_spend(service, time, repeat_kind::hedge) && counted;
+        }
+        return granted;
+    };
+    const auto [calm_hedges, none] = spend(false);
+    CHECK(none == 0);
+    CHECK(calm_hedges >= 200 * 0.7);
+    const auto [hedges, retries] = spend(true);
+    CHECK(retries == 100);
+    CHECK(hedges > 0);
+    CHECK(hedges + retries <= 200);
+}
+
 TEST_CASE("a host that starts anew in the middle of a window keeps the bound")
 {
     const service_name service("s");
