Split the progress of a query over shards from its calls

Change: gather_shard holds the calls of one shard, gather_progress the counts and the decisions that depend on several shards. The session makes the calls. No decision changed.

--- /dev/null
+++ b/src/node/request/gather_progress.cpp
@@ -0,0 +1,95 @@
+#include "node/request/gather_progress.hpp"
+
+#include "node/process/gather_policy.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilpath
+{
+
+namespace
+{
+
+// A query of which this many calls broke and none was answered may be what
+// breaks them.
+constexpr std::size_t suspect_breaks = 3;
+
+} // namespace
+
+gather_progress::gather_progress(const route& rule)
+    : shards(rule.gather.shards.size()),
+      needed_parts(parts_needed(rule.gather)), most_sends(rule.attempts)
+{
+}
+
+bool gather_progress::may_have_run() const
+{
+    return std::ranges::any_of(this->shards, &gather_shard::may_have_run);
+}
+
+bool gather_progress::suspect() const
+{
+    return this->parts == 0 && this->broken_calls.size() >= suspect_breaks;
+}
+
+bool gather_progress::may_retry(const gather_shard& one) const
+{
+    return one.sends < this->most_sends;
+}
+
+bool gather_progress::may_hedge(const gather_shard& one) const
+{
+    return !one.part && !one.failed && !one.held && this->may_retry(one) &&
+           !this->suspect();
+}
+
+std::optional<instant> gather_progress::next_hedge() const
+{
+    std::optional<instant> next;
+    for (const gather_shard& one : this->shards)
+    {
+        if (this->may_hedge(one) && (!next || one.hedge_at < *next))
+        {
+            next = one.hedge_at;
+        }
+    }
+    return next;
+}
+
+void gather_progress::take_part(gather_shard& one, target_reply reply)
+{
+    one.part = std::move(reply);
+    ++this->parts;
+}
+
+void gather_progress::fail_if_idle(gather_shard& one)
+{
+    if (one.calls.empty() && !one.part && !one.failed)
+    {
+        one.failed = true;
+        ++this->failures;
+    }
+}
+
+std::vector<std::size_t> gather_progress::release_held()
+{
+    std::vector<std::size_t> released;
+    const bool any_call =
+        std::ranges::any_of(this->shards, [](const gather_shard& one)
+                            { return !one.calls.empty(); });
+    if (this->suspect() && any_call)
+    {
+        return released;
+    }
+    for (std::size_t i = 0; i < this->shards.size(); ++i)
+    {
+        if (std::exchange(this->shards[i].held, false))
+        {
+            released.push_back(i);
+        }
+    }
+    return released;
+}
+
+} // namespace basilpath
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/caller_presence.hpp"
 #include "node/process/gather_policy.hpp"
+#include "node/request/gather_progress.hpp"
 #include "node/request/request_journal.hpp"
 #include "node/request/request_services.hpp"
 #include "node/request/target_call.hpp"
@@ -70,26 +71,6 @@
     run(std::shared_ptr<caller_presence> presence);
 
 private:
-    /// One shard of the query.
-    struct shard_state
-    {
-        std::vector<leaf_id> asked;
-        std::vector<std::shared_ptr<target_call>> calls;
-        instant hedge_at{};
-        std::optional<target_reply> part;
-        bool failed = false;
-
-        /// Calls that left or still may.
-        std::size_t sends = 0;
-
-        /// Its call failed, and whether another is made depends on the other
-        /// shards: the query may be what breaks calls.
-        bool held = false;
-
-        /// A call has reached a replica, so that a further one is a repeat.
-        bool arrived = false;
-    };
-
     /// The result of a call for a shard.
     struct shard_event
     {
@@ -99,22 +80,17 @@
     };
 
     [[nodiscard]] std::size_t shards_with_replica() const;
-    void ask(std::size_t shard);
-    [[nodiscard]] bool is_repeat(const shard_state& state) const;
-    void take_back_unsent(shard_state& state);
-    void start_call(std::size_t shard, const leaf_id& to);
-    void note_result(const shard_event& event);
+    void ask(std::size_t number);
+    void take_back_unsent(std::size_t number);
+    void start_call(std::size_t number, const leaf_id& to);
     void take(shard_event event);
-    void retry_or_fail(std::size_t shard);
+    void note_result(const shard_event& event);
+    void retry_or_fail(std::size_t number);
     void settle_held();
-    [[nodiscard]] bool is_suspect() const;
-    [[nodiscard]] bool may_ask_again(const shard_state& state) const;
     void hedge_due(instant now);
     [[nodiscard]] instant next_wake(instant now) const;
-    [[nodiscard]] bool out_of_reach() const;
     [[nodiscard]] gather_end lost_reach() const;
-    [[nodiscard]] bool is_on_wire(const shard_state& state) const;
-    void give_up_calls();
+    void give_up_calls(gather_shard& shard);
     void note_crashes();
     gather_result conclude(gather_end end);
     [[nodiscard]] instant now() const;
@@ -126,14 +102,8 @@
     gather_plan plan;
     request_journal& journal;
     microseconds usual{0};
-    std::size_t needed = 0;
-    std::vector<shard_state> shards;
-    std::size_t parts = 0;
-    std::size_t failures = 0;
+    gather_progress progress;
     std::size_t repeats = 0;
-
-    /// Replicas whose calls broke, whichever shard they were for.
-    std::vector<leaf_id> broken;
     mailbox<Runtime, shard_event> events;
 };
 
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -3,6 +3,7 @@
 #include "node/request/record_merge.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace basilpath
@@ -11,10 +12,6 @@
 namespace gather_bounds
 {
 
-/// A query of which this many calls broke and none was answered may be what
-/// breaks them, and is not sent to further replicas.
-inline constexpr std::size_t suspect_breaks = 3;
-
 /// A call that is not waited for any more is cut at once: under load the slot
 /// that its work would take is worth more than the connection.
 inline constexpr milliseconds withdrawal_grace{0};
@@ -28,8 +25,7 @@
     gather_times times, request_journal& journal)
     : shared(shared), table(std::move(table)), rule(rule),
       query(std::move(query)), plan(plan_gather(rule, times)), journal(journal),
-      needed(parts_needed(rule.gather)), shards(rule.gather.shards.size()),
-      events(shared.run)
+      progress(rule), events(shared.run)
 {
 }
 
@@ -48,20 +44,20 @@
         });
 
     // Step 1. Refuse at once when too few shards have a replica.
-    if (this->shards_with_replica() < this->needed)
+    if (this->shards_with_replica() < this->progress.needed())
     {
         co_return this->conclude(gather_end::not_attempted);
     }
 
     // Step 2. Ask one replica of each shard.
     this->usual = this->shared.targets.latency(this->rule.name).usual;
-    for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
+    for (std::size_t shard = 0; shard < this->progress.all().size(); ++shard)
     {
         this->shared.repeats.note_request(this->rule.gather.shards[shard],
                                           this->now());
         this->ask(shard);
     }
-    if (this->out_of_reach())
+    if (this->progress.out_of_reach())
     {
         co_return this->conclude(this->lost_reach());
     }
@@ -82,16 +78,13 @@
         {
             co_return this->conclude(gather_end::caller_left);
         }
-        const bool enough = this->parts >= this->needed;
-        if (this->parts + this->failures == this->shards.size() && enough)
-        {
-            co_return this->conclude(gather_end::answered);
-        }
-        if (enough && time >= this->plan.cutoff)
+        const bool final =
+            this->progress.settled() || time >= this->plan.cutoff;
+        if (this->progress.enough() && final)
         {
             co_return this->conclude(gather_end::answered);
         }
-        if (this->out_of_reach())
+        if (this->progress.out_of_reach())
         {
             co_return this->conclude(this->lost_reach());
         }
@@ -118,145 +111,124 @@
 
 // Sends the query to the best replica of a shard that has not been asked.
 template <runtime Runtime, target_transport Transport>
-void gather_session<Runtime, Transport>::ask(std::size_t shard)
+void gather_session<Runtime, Transport>::ask(std::size_t number)
 {
-    shard_state& state = this->shards[shard];
-    const service_name& service = this->rule.gather.shards[shard];
+    gather_shard& shard = this->progress.shard(number);
+    const service_name& service = this->rule.gather.shards[number];
     const instant time = this->now();
     const std::vector<candidate> candidates =
         this->shared.targets.candidates(service);
     const auto choice = choose_replica(
         candidates, {time, this->usual, &this->shared.targets.domain(),
-                     state.asked, this->shared.run.random()});
+                     shard.asked, this->shared.run.random()});
     if (choice)
     {
-        this->take_back_unsent(state);
+        this->take_back_unsent(number);
     }
-    const bool repeat = this->is_repeat(state);
+    const bool repeat = shard.next_is_repeat();
     const repeat_kind urgency =
-        state.calls.empty() ? repeat_kind::retry : repeat_kind::hedge;
+        shard.calls.empty() ? repeat_kind::retry : repeat_kind::hedge;
     const bool allowed =
         choice &&
         (!repeat || this->shared.repeats.try_spend(service, time, urgency));
     if (!allowed)
     {
         this->journal.add(no_call(
-            choice ? decision::no_budget : decision::no_replica, time, shard,
-            service, count_unavailable(candidates, state.asked)));
-        if (state.calls.empty() && !state.part && !state.failed)
-        {
-            state.failed = true;
-            ++this->failures;
-        }
+            choice ? decision::no_budget : decision::no_replica, time, number,
+            service, count_unavailable(candidates, shard.asked)));
+        this->progress.fail_if_idle(shard);
         return;
     }
     const leaf_id chosen = candidates[choice->index].target->id;
     const decision kind = !repeat               ? decision::call_first
-                          : state.calls.empty() ? decision::call_retry
+                          : shard.calls.empty() ? decision::call_retry
                                                 : decision::call_hedge;
     this->repeats += repeat ? 1 : 0;
     const target_health& health = *candidates[choice->index].health;
     this->journal.add(
-        call_made(kind, time, shard, chosen, choice->expected, health));
-    state.hedge_at = time + this->plan.hedge_after;
-    this->start_call(shard, chosen);
-}
-
-// A further send is a repeat unless no earlier call has left or still may.
-template <runtime Runtime, target_transport Transport>
-bool gather_session<Runtime, Transport>::is_repeat(
-    const shard_state& state) const
-{
-    return state.arrived || !state.calls.empty();
+        call_made(kind, time, number, chosen, choice->expected, health));
+    shard.hedge_at = time + this->plan.hedge_after;
+    this->start_call(number, chosen);
 }
 
 // Takes back the calls of a shard that still wait for a connection, so that
 // they never arrive and another replica may be asked in their place.
 template <runtime Runtime, target_transport Transport>
-void gather_session<Runtime, Transport>::take_back_unsent(shard_state& state)
+void gather_session<Runtime, Transport>::take_back_unsent(std::size_t number)
 {
+    gather_shard& shard = this->progress.shard(number);
     const auto unsent = [](const auto& call)
     {
         return !call->on_wire;
     };
-    for (const auto& call : state.calls)
+    for (const auto& call : shard.calls | std::views::filter(unsent))
     {
-        if (unsent(call))
-        {
-            this->shared.targets.give_up(call, milliseconds(0));
-            this->journal.add(call_taken_back(
-                this->now(),
-                static_cast<std::size_t>(&state - this->shards.data()), *call));
-            --state.sends;
-        }
+        this->shared.targets.give_up(call, milliseconds(0));
+        this->journal.add(call_taken_back(this->now(), number, *call));
+        --shard.sends;
     }
-    std::erase_if(state.calls, unsent);
+    std::erase_if(shard.calls, unsent);
 }
 
 template <runtime Runtime, target_transport Transport>
-void gather_session<Runtime, Transport>::start_call(std::size_t shard,
+void gather_session<Runtime, Transport>::start_call(std::size_t number,
                                                     const leaf_id& to)
 {
-    shard_state& state = this->shards[shard];
+    gather_shard& shard = this->progress.shard(number);
     const auto call = std::make_shared<target_call>();
     call->query = this->query;
     call->to = to;
     call->route = this->rule.name;
     call->useful_until = this->plan.cutoff;
     call->deadline = this->plan.deadline;
-    call->done = [weak = this->weak_from_this(), shard,
+    call->done = [weak = this->weak_from_this(), number,
                   raw = std::weak_ptr<target_call>(call)](target_result result)
     {
         if (const auto session = weak.lock())
         {
-            session->events.push({shard, raw.lock(), std::move(result)});
+            session->events.push({number, raw.lock(), std::move(result)});
         }
     };
-    state.asked.push_back(to);
-    ++state.sends;
-    state.calls.push_back(call);
+    shard.asked.push_back(to);
+    ++shard.sends;
+    shard.calls.push_back(call);
     this->shared.targets.send(call);
 }
 
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::take(shard_event event)
 {
-    shard_state& state = this->shards[event.shard];
-    std::erase(state.calls, event.call);
+    gather_shard& shard = this->progress.shard(event.shard);
+    std::erase(shard.calls, event.call);
     this->note_result(event);
     if (event.result.end == call_end::unsent)
     {
-        --state.sends;
+        --shard.sends;
     }
     else
     {
-        state.arrived = true;
+        shard.arrived = true;
         if (event.result.end == call_end::broken && event.call)
         {
-            this->broken.push_back(event.call->to);
+            this->progress.note_broken(event.call->to);
         }
     }
+    if (shard.part)
+    {
+        return;
+    }
     const target_reply& reply = event.result.reply;
     const bool part = event.result.end == call_end::answered &&
                       reply.success() && !reply.signature.empty();
-    if (state.part)
+    if (part)
     {
-        return;
+        this->progress.take_part(shard, std::move(event.result.reply));
+        this->give_up_calls(shard);
     }
-    if (part)
+    else
     {
-        state.part = std::move(event.result.reply);
-        ++this->parts;
-        for (const auto& other : state.calls)
-        {
-            this->shared.targets.give_up(other,
-                                         gather_bounds::withdrawal_grace);
-        }
-        state.calls.clear();
-        this->settle_held();
-        return;
+        this->retry_or_fail(event.shard);
     }
-    this->retry_or_fail(event.shard);
     this->settle_held();
 }
 
@@ -269,85 +241,48 @@
 
 // A call of this shard failed: asks another replica while that is allowed.
 template <runtime Runtime, target_transport Transport>
-void gather_session<Runtime, Transport>::retry_or_fail(std::size_t shard)
+void gather_session<Runtime, Transport>::retry_or_fail(std::size_t number)
 {
-    shard_state& state = this->shards[shard];
-    if (state.sends < this->rule.attempts)
+    gather_shard& shard = this->progress.shard(number);
+    if (this->progress.may_retry(shard))
     {
-        if (this->is_suspect())
+        if (this->progress.suspect())
         {
-            state.held = state.calls.empty();
+            shard.held = shard.calls.empty();
             return;
         }
-        this->ask(shard);
-    }
-    if (state.calls.empty() && !state.failed)
-    {
-        state.failed = true;
-        ++this->failures;
+        this->ask(number);
     }
+    this->progress.fail_if_idle(shard);
 }
 
-// Decides on the shards that wait for others to show whether the query breaks
-// calls: they are asked again once a part is in, and have failed once no call
-// is left that could bring one.
+// Decides on the shards that waited for others to show whether the query
+// breaks calls: they are asked again once a part is in, and have failed once
+// no call is left that could bring one.
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::settle_held()
 {
-    const bool any_call =
-        std::ranges::any_of(this->shards, [](const shard_state& one)
-                            { return !one.calls.empty(); });
-    if (this->is_suspect() && any_call)
+    for (const std::size_t number : this->progress.release_held())
     {
-        return;
-    }
-    for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
-    {
-        shard_state& state = this->shards[shard];
-        if (!std::exchange(state.held, false))
-        {
-            continue;
-        }
-        if (!this->is_suspect())
-        {
-            this->ask(shard);
-        }
-        if (state.calls.empty() && !state.failed)
+        if (!this->progress.suspect())
         {
-            state.failed = true;
-            ++this->failures;
+            this->ask(number);
         }
+        this->progress.fail_if_idle(this->progress.shard(number));
     }
 }
 
-// Tells whether the query may be what breaks calls.
-template <runtime Runtime, target_transport Transport>
-bool gather_session<Runtime, Transport>::is_suspect() const
-{
-    return this->parts == 0 &&
-           this->broken.size() >= gather_bounds::suspect_breaks;
-}
-
-// Tells whether a shard that is slow is asked a second time when it is due.
-template <runtime Runtime, target_transport Transport>
-bool gather_session<Runtime, Transport>::may_ask_again(
-    const shard_state& state) const
-{
-    return !state.part && !state.failed && !state.held &&
-           state.sends < this->rule.attempts && !this->is_suspect();
-}
-
 // Asks a second replica of the shards that have been quiet for too long.
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::hedge_due(instant time)
 {
-    for (std::size_t shard = 0; shard < this->shards.size(); ++shard)
+    for (std::size_t i = 0; i < this->progress.all().size(); ++i)
     {
-        shard_state& state = this->shards[shard];
-        if (this->may_ask_again(state) && time >= state.hedge_at)
+        gather_shard& shard = this->progress.shard(i);
+        if (this->progress.may_hedge(shard) && time >= shard.hedge_at)
         {
-            this->ask(shard);
-            state.hedge_at = this->plan.deadline;
+            this->ask(i);
+            shard.hedge_at = this->plan.deadline;
         }
     }
 }
@@ -355,25 +290,10 @@
 template <runtime Runtime, target_transport Transport>
 instant gather_session<Runtime, Transport>::next_wake(instant time) const
 {
-    instant next = this->plan.deadline;
-    if (time < this->plan.cutoff)
-    {
-        next = std::min(next, this->plan.cutoff);
-    }
-    for (const shard_state& state : this->shards)
-    {
-        if (this->may_ask_again(state))
-        {
-            next = std::min(next, state.hedge_at);
-        }
-    }
-    return next;
-}
-
-template <runtime Runtime, target_transport Transport>
-bool gather_session<Runtime, Transport>::out_of_reach() const
-{
-    return this->shards.size() - this->failures < this->needed;
+    const instant next = time < this->plan.cutoff
+                             ? std::min(this->plan.cutoff, this->plan.deadline)
+                             : this->plan.deadline;
+    return std::min(next, this->progress.next_hedge().value_or(next));
 }
 
 // How a query ends that cannot reach its coverage any more: when no replica got
@@ -381,48 +301,35 @@
 template <runtime Runtime, target_transport Transport>
 gather_end gather_session<Runtime, Transport>::lost_reach() const
 {
-    const bool any =
-        std::ranges::any_of(this->shards, [this](const shard_state& one)
-                            { return one.arrived || this->is_on_wire(one); });
-    return any ? gather_end::out_of_reach : gather_end::not_attempted;
-}
-
-template <runtime Runtime, target_transport Transport>
-bool gather_session<Runtime, Transport>::is_on_wire(
-    const shard_state& state) const
-{
-    return std::ranges::any_of(state.calls,
-                               [](const auto& call) { return call->on_wire; });
+    return this->progress.may_have_run() ? gather_end::out_of_reach
+                                         : gather_end::not_attempted;
 }
 
 template <runtime Runtime, target_transport Transport>
-void gather_session<Runtime, Transport>::give_up_calls()
+void gather_session<Runtime, Transport>::give_up_calls(gather_shard& shard)
 {
-    for (shard_state& state : this->shards)
+    for (const auto& call : shard.calls)
     {
-        for (const auto& call : state.calls)
-        {
-            this->shared.targets.give_up(call, gather_bounds::withdrawal_grace);
-        }
-        state.calls.clear();
+        this->shared.targets.give_up(call, gather_bounds::withdrawal_grace);
     }
+    shard.calls.clear();
 }
 
 // Tells which calls broke, unless a replica has answered the query.
 template <runtime Runtime, target_transport Transport>
 void gather_session<Runtime, Transport>::note_crashes()
 {
-    if (this->broken.empty())
+    if (this->progress.broken().empty())
     {
         return;
     }
     const fingerprint print = fingerprint_of(*this->query);
-    if (this->parts > 0)
+    if (this->progress.missing() < this->progress.all().size())
     {
         this->shared.crashes.note_served(print);
         return;
     }
-    for (const leaf_id& one : this->broken)
+    for (const leaf_id& one : this->progress.broken())
     {
         this->shared.crashes.note_broken(print, one, this->now());
     }
@@ -431,26 +338,29 @@
 template <runtime Runtime, target_transport Transport>
 gather_result gather_session<Runtime, Transport>::conclude(gather_end end)
 {
-    this->give_up_calls();
+    for (std::size_t i = 0; i < this->progress.all().size(); ++i)
+    {
+        this->give_up_calls(this->progress.shard(i));
+    }
     this->note_crashes();
     gather_result result;
     result.end = end;
-    result.failed = this->shards.size() - this->parts;
+    result.failed = this->progress.missing();
     result.repeats = this->repeats;
     if (end != gather_end::answered)
     {
         return result;
     }
     std::vector<std::string_view> bodies;
-    for (const shard_state& state : this->shards)
+    for (const gather_shard& one : this->progress.all())
     {
-        if (state.part)
+        if (one.part)
         {
-            result.answer.signatures.push_back(state.part->signature);
-            bodies.push_back(state.part->body);
+            result.answer.signatures.push_back(one.part->signature);
+            bodies.push_back(one.part->body);
         }
     }
-    result.answer.missing = this->shards.size() - this->parts;
+    result.answer.missing = this->progress.missing();
     result.answer.records =
         merge_records(bodies, this->rule.gather.most_records);
     return result;
