Split the pool of replicas: entry, list, health check

Change: replica_entry (one replica, its connections, which of them are overdue), replica_list (by id and by service), replica_check (one health check); the least connections of a shard's replicas are a figure of the route table, taken once. No decision changed.

--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -1,12 +1,11 @@
 /// Connections to replicas, and what is known of each.
 #pragma once
 
-#include "node/connection/target_connection.hpp"
-#include "node/process/call_queue.hpp"
 #include "node/process/placement.hpp"
+#include "node/process/replica_entry.hpp"
+#include "node/process/replica_list.hpp"
 #include "node/process/replica_share.hpp"
 #include "node/process/route_latencies.hpp"
-#include "node/process/target_health.hpp"
 #include "node/request/target_call.hpp"
 #include "node/version/replica.hpp"
 #include "node/version/route_table.hpp"
@@ -15,11 +14,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace basilpath
@@ -86,34 +83,16 @@
 
     [[nodiscard]] std::size_t replica_count() const
     {
-        return this->entries.size();
+        return this->replicas.all().size();
     }
 
 private:
-    using connection = target_connection<Codec>;
-
-    /// A replica with its connections and the calls that wait for one.
-    struct entry
-    {
-        replica target;
-        target_health health;
-        std::vector<std::shared_ptr<connection>> connections;
-        call_queue waiting;
-        instant gone_at{};
-        bool lapsed = false;
-
-        /// A call broke; it is to be seen whether the replica still listens.
-        bool check_due = false;
-    };
-
+    using entry = replica_entry<Codec>;
+    using connection = typename entry::connection;
     using entry_pointer = std::shared_ptr<entry>;
 
     void open(const entry_pointer& one);
     void dispatch(const entry_pointer& one);
-    void end_calls(const entry_pointer& one,
-                   const std::vector<std::shared_ptr<target_call>>& calls);
-    [[nodiscard]] std::shared_ptr<connection> idle_connection(const entry& one,
-                                                              bool fresh) const;
     [[nodiscard]] bool has_room(const entry& one) const;
     void take_result(const entry_pointer& one,
                      const std::shared_ptr<target_call>& call,
@@ -123,13 +102,13 @@
     void sweep_entry(const entry_pointer& one, instant now);
     boost::asio::awaitable<void> sweep();
     boost::asio::awaitable<void> probe(entry_pointer one);
+    [[nodiscard]] const service_rule* rule_of(const entry& one) const;
     [[nodiscard]] std::size_t connection_bound(const entry& one) const;
     static instant now();
 
     boost::asio::io_context& context;
     failure_domain own_domain;
-    std::map<leaf_id, entry_pointer> entries;
-    std::map<service_name, std::vector<entry_pointer>> by_service;
+    replica_list<entry> replicas;
     route_latencies latencies;
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -1,6 +1,6 @@
 #include "node/connection/endpoint.hpp"
-#include "node/connection/http_client.hpp"
 #include "node/connection/target_connection.ipp"
+#include "node/process/replica_check.hpp"
 #include "node/process/target_pool.hpp"
 #include "process/log.hpp"
 
@@ -24,19 +24,12 @@
 /// may overrun its end.
 inline constexpr milliseconds sweep_interval{20};
 
-/// A connection that takes longer is given up: the replica is dark, or its
-/// queue of new connections is full.
-inline constexpr milliseconds connect_limit{400};
-
 /// An idle connection older than this may be just being closed by the replica,
 /// and does not carry what must not be sent twice.
 inline constexpr milliseconds fresh_limit{500};
 
-/// An idle connection is closed this much before the replica would.
-inline constexpr milliseconds idle_margin{1'000};
-
-/// How long a health check may take.
-inline constexpr milliseconds probe_limit{400};
+/// Any idle connection will do.
+inline constexpr microseconds any_age = microseconds::max();
 
 } // namespace target_pool_bounds
 
@@ -56,14 +49,9 @@
 template <target_codec Codec>
 void target_pool<Codec>::set_replica(const replica& one)
 {
-    const auto found = this->entries.find(one.id);
-    if (found != this->entries.end())
+    if (const entry_pointer known = this->replicas.find(one.id))
     {
-        const entry_pointer& known = found->second;
-        const bool same_process = known->target.started == one.started &&
-                                  known->target.address == one.address &&
-                                  known->target.service == one.service;
-        if (same_process)
+        if (known->same_process(one))
         {
             known->target = one;
             known->lapsed = false;
@@ -73,8 +61,7 @@
     }
     const auto made = std::make_shared<entry>(entry{
         one, target_health(one.slots, one.warmup, now()), {}, {}, {}, false});
-    this->entries[one.id] = made;
-    this->by_service[one.service].push_back(made);
+    this->replicas.add(made);
     if (this->hosts.own)
     {
         this->open(made);
@@ -84,21 +71,19 @@
 template <target_codec Codec>
 void target_pool<Codec>::drop_replica(const leaf_id& id, milliseconds patience)
 {
-    const auto found = this->entries.find(id);
-    if (found == this->entries.end())
+    const entry_pointer one = this->replicas.find(id);
+    if (!one)
     {
         return;
     }
-    const entry_pointer one = found->second;
     if (patience > milliseconds(0))
     {
         one->lapsed = true;
         one->gone_at = now() + patience;
         return;
     }
-    std::erase(this->by_service[one->target.service], one);
-    this->entries.erase(found);
-    this->end_calls(one, one->waiting.take_all());
+    this->replicas.remove(one);
+    one->end_unsent(one->waiting.take_all(), now());
     for (const auto& open : one->connections)
     {
         if (open->idle())
@@ -119,20 +104,7 @@
 template <target_codec Codec>
 std::set<failure_domain> target_pool<Codec>::shard_domains() const
 {
-    std::set<failure_domain> domains;
-    for (const service_name& service : this->shard_services)
-    {
-        const auto found = this->by_service.find(service);
-        if (found == this->by_service.end())
-        {
-            continue;
-        }
-        for (const entry_pointer& one : found->second)
-        {
-            domains.insert(one->target.domain);
-        }
-    }
-    return domains;
+    return this->replicas.domains(this->shard_services);
 }
 
 template <target_codec Codec>
@@ -144,7 +116,7 @@
     {
         return;
     }
-    for (const auto& [id, one] : this->entries)
+    for (const auto& [id, one] : this->replicas.all())
     {
         if (one->connections.empty() && !one->target.leaving)
         {
@@ -156,46 +128,25 @@
 template <target_codec Codec>
 std::size_t target_pool<Codec>::least_connections() const
 {
-    std::size_t least = 0;
-    for (const service_name& name : this->shard_services)
-    {
-        const service_rule* const rule = this->table->service(name);
-        if (rule && (least == 0 || rule->connections < least))
-        {
-            least = rule->connections;
-        }
-    }
-    return least;
+    return this->table ? this->table->least_shard_connections() : 0;
 }
 
 template <target_codec Codec>
 std::vector<candidate>
 target_pool<Codec>::candidates(const service_name& service) const
 {
-    std::vector<candidate> result;
-    const auto found = this->by_service.find(service);
-    if (found == this->by_service.end())
-    {
-        return result;
-    }
-    std::ranges::transform(
-        found->second, std::back_inserter(result),
-        [](const entry_pointer& one) {
-            return candidate{&one->target, &one->health, one->lapsed};
-        });
-    return result;
+    return this->replicas.candidates(service);
 }
 
 template <target_codec Codec>
 void target_pool<Codec>::send(const std::shared_ptr<target_call>& call)
 {
-    const auto found = this->entries.find(call->to);
-    if (found == this->entries.end())
+    const entry_pointer one = this->replicas.find(call->to);
+    if (!one)
     {
         call->done({call_end::unsent, {}, microseconds(0)});
         return;
     }
-    const entry_pointer one = found->second;
     one->health.on_sent(now());
     one->waiting.push(call);
     this->dispatch(one);
@@ -223,7 +174,7 @@
     const auto address = to_endpoint(one->target.address.value);
     if (!address)
     {
-        this->end_calls(one, one->waiting.take_all());
+        one->end_unsent(one->waiting.take_all(), now());
         return;
     }
     const std::weak_ptr<entry> weak = one;
@@ -267,10 +218,10 @@
 void target_pool<Codec>::dispatch(const entry_pointer& one)
 {
     const instant time = now();
-    this->end_calls(one, one->waiting.take_ended(time));
+    one->end_unsent(one->waiting.take_ended(time), now());
     while (!one->waiting.empty() && this->has_room(*one))
     {
-        auto idle = this->idle_connection(*one, false);
+        auto idle = one->idle_connection(now(), target_pool_bounds::any_age);
         if (!idle)
         {
             break;
@@ -279,7 +230,7 @@
         if (call->fresh)
         {
             const auto stale = idle;
-            idle = this->idle_connection(*one, true);
+            idle = one->idle_connection(now(), target_pool_bounds::fresh_limit);
             if (!idle)
             {
                 // Its place is taken by a connection that is made now.
@@ -291,10 +242,9 @@
         }
         idle->send(call, time);
     }
-    const auto connecting = static_cast<std::size_t>(std::ranges::count_if(
-        one->connections, [](const auto& open) { return open->connecting(); }));
-    const bool any_idle = this->idle_connection(*one, false) != nullptr;
-    if (one->waiting.size() > connecting && !any_idle &&
+    const bool any_idle =
+        one->idle_connection(now(), target_pool_bounds::any_age) != nullptr;
+    if (one->waiting.size() > one->connecting() && !any_idle &&
         one->connections.size() < this->connection_bound(*one) &&
         this->has_room(*one))
     {
@@ -302,30 +252,10 @@
     }
 }
 
-template <target_codec Codec>
-auto target_pool<Codec>::idle_connection(const entry& one, bool fresh) const
-    -> std::shared_ptr<connection>
-{
-    const instant time = now();
-    const auto found = std::ranges::find_if(
-        one.connections,
-        [&](const auto& open)
-        {
-            return open->idle() &&
-                   (!fresh ||
-                    time - open->since() < target_pool_bounds::fresh_limit);
-        });
-    return found == one.connections.end() ? nullptr : *found;
-}
-
 template <target_codec Codec>
 bool target_pool<Codec>::has_room(const entry& one) const
 {
-    const auto own =
-        std::ranges::count_if(one.connections, [](const auto& open)
-                              { return open->carried() != nullptr; });
-    return may_send({one.target.slots, static_cast<std::size_t>(own),
-                     one.health.others(now())},
+    return may_send({one.target.slots, one.carried(), one.health.others(now())},
                     this->hosts);
 }
 
@@ -391,7 +321,7 @@
         }
         if (one->connections.empty())
         {
-            this->end_calls(one, one->waiting.take_all());
+            one->end_unsent(one->waiting.take_all(), now());
         }
         return;
     }
@@ -403,45 +333,10 @@
     }
 }
 
-// Ends calls that have not left.
-template <target_codec Codec>
-void target_pool<Codec>::end_calls(
-    const entry_pointer& one,
-    const std::vector<std::shared_ptr<target_call>>& calls)
-{
-    for (const auto& call : calls)
-    {
-        one->health.on_withdrawn(now(), false);
-        if (call->done)
-        {
-            const auto done = std::exchange(call->done, nullptr);
-            done({call_end::unsent, {}, microseconds(0)});
-        }
-    }
-}
-
 template <target_codec Codec>
 void target_pool<Codec>::sweep_entry(const entry_pointer& one, instant time)
 {
-    const auto open_connections = one->connections;
-    for (const auto& open : open_connections)
-    {
-        const auto& call = open->carried();
-        const bool cut = call && ((call->given_up && time >= call->cut_at) ||
-                                  time >= call->deadline);
-        const bool stuck =
-            open->connecting() &&
-            time - open->since() > target_pool_bounds::connect_limit;
-        const bool old =
-            open->idle() &&
-            time - open->since() >
-                std::max(open->keeps_idle() - target_pool_bounds::idle_margin,
-                         open->keeps_idle() / 2);
-        if (cut || stuck || old)
-        {
-            open->close();
-        }
-    }
+    one->close_overdue(time);
     if (!one->waiting.empty())
     {
         this->dispatch(one);
@@ -465,7 +360,7 @@
             boost::asio::as_tuple(boost::asio::use_awaitable));
         const instant time = now();
         std::vector<leaf_id> gone;
-        for (const auto& [id, one] : this->entries)
+        for (const auto& [id, one] : this->replicas.all())
         {
             this->sweep_entry(one, time);
             if (one->lapsed && time >= one->gone_at)
@@ -485,35 +380,36 @@
 template <target_codec Codec>
 boost::asio::awaitable<void> target_pool<Codec>::probe(entry_pointer one)
 {
-    const service_rule* rule =
-        this->table ? this->table->service(one->target.service) : nullptr;
-    const std::string path = rule ? rule->health_path : "/health";
-    node_http_client client(this->context.get_executor(), one->target.address);
-    auto response = co_await client.get(path, target_pool_bounds::probe_limit);
-    client.close();
-    const bool answered = response.has_value() &&
-                          Codec::replica_named(*response) == one->target.id;
-    const bool good = answered && response->result_int() == 200;
-    if (!good)
+    const service_rule* const rule = this->rule_of(*one);
+    replica target = one->target;
+    std::string wanted = rule ? rule->health_path : "/health";
+    const auto reply = co_await check_replica<Codec>(
+        this->context.get_executor(), std::move(target), std::move(wanted));
+    if (!reply)
     {
         co_return;
     }
-    const target_reply reply = Codec::decode_reply(std::move(*response));
-    one->health.on_probe(now(), true, reply.load);
+    one->health.on_probe(now(), true, reply->load);
     log_event(log_level::info, "replica_up",
               {{"replica", one->target.id.value},
                {"service", one->target.service.value}});
-    if (one->connections.empty() && this->entries.contains(one->target.id))
+    if (one->connections.empty() && this->replicas.find(one->target.id) == one)
     {
         this->open(one);
     }
 }
 
+// What the configuration says of the service of a replica, or null.
+template <target_codec Codec>
+const service_rule* target_pool<Codec>::rule_of(const entry& one) const
+{
+    return this->table ? this->table->service(one.target.service) : nullptr;
+}
+
 template <target_codec Codec>
 std::size_t target_pool<Codec>::connection_bound(const entry& one) const
 {
-    const service_rule* rule =
-        this->table ? this->table->service(one.target.service) : nullptr;
+    const service_rule* const rule = this->rule_of(one);
     const std::size_t limit = rule ? rule->connections : one.target.slots;
     return connection_share(limit, this->hosts);
 }
--- a/src/node/version/route_table.cpp
+++ b/src/node/version/route_table.cpp
@@ -22,6 +22,17 @@
                                  [](const route* one)
                                  { return one->prefix.size(); });
     }
+    for (const service_name& name : this->shard_services())
+    {
+        const service_rule* const rule = this->service(name);
+        const bool fewer =
+            rule && (this->least_connections == 0 ||
+                     rule->connections < this->least_connections);
+        if (fewer)
+        {
+            this->least_connections = rule->connections;
+        }
+    }
 }
 
 const route* route_table::find(std::string_view host,
--- a/src/node/version/route_table.hpp
+++ b/src/node/version/route_table.hpp
@@ -50,6 +50,13 @@
     /// What is said of a service, or null.
     [[nodiscard]] const service_rule* service(const service_name& name) const;
 
+    /// The least connections that a replica of a shard accepts from all hosts;
+    /// zero when nothing is said of any.
+    [[nodiscard]] std::size_t least_shard_connections() const
+    {
+        return this->least_connections;
+    }
+
     /// All services that hold a shard of some route.
     [[nodiscard]] std::set<service_name> shard_services() const;
 
@@ -77,6 +84,7 @@
 
     std::map<service_name, service_rule> services;
     caller_limits bounds;
+    std::size_t least_connections = 0;
 };
 
 } // namespace basilpath
