Move decisions out of platform/ and out of the node; tell a store never reached

Change: these choices stand in src (peer_address_of, view_reader_bounds, route, route_table); platform/ passes what it reads. node_identity, node_settings and steering hold the rest of what node.ipp lost. dependency_state tells the first failure too. The script of the reader's test takes the patience as one more argument; no assertion changed.

--- a/src/node/process/item_source.hpp
+++ b/src/node/process/item_source.hpp
@@ -31,16 +31,18 @@
     std::string reason;
 };
 
-/// Reads the items that concern this system. Counts its calls.
+/// Reads the items that concern this system. Counts its calls. A watch answers
+/// when something has changed after a revision, or after the wait; a call that
+/// has no answer within the patience has failed.
 template <class Source>
-concept item_source =
-    requires(Source& source, store_revision after, milliseconds wait) {
-        {
-            source.read_all()
-        } -> std::same_as<boost::asio::awaitable<read_result>>;
-        {
-            source.watch(after, wait)
-        } -> std::same_as<boost::asio::awaitable<read_result>>;
-    };
+concept item_source = requires(Source& source, store_revision after,
+                               milliseconds wait, milliseconds patience) {
+    {
+        source.read_all(patience)
+    } -> std::same_as<boost::asio::awaitable<read_result>>;
+    {
+        source.watch(after, wait, patience)
+    } -> std::same_as<boost::asio::awaitable<read_result>>;
+};
 
 } // namespace basilpath
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/http_server.hpp"
 #include "node/process/directory_question.hpp"
+#include "node/process/node_identity.hpp"
 #include "node/process/node_settings.hpp"
 #include "node/process/peer_exchange.hpp"
 #include "node/process/query_service.hpp"
@@ -64,11 +65,7 @@
     void take_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> follow_members();
     void share_bounds();
-    [[nodiscard]] std::set<http_address> serving_hosts() const;
     [[nodiscard]] steering_state steering() const;
-    [[nodiscard]] static reader_role role_of(const node_settings& settings);
-    [[nodiscard]] static member describe(const node_settings& settings,
-                                         std::uint64_t start);
     [[nodiscard]] bool ready() const;
 
     boost::asio::io_context& context;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -223,16 +223,8 @@
         return;
     }
     this->last_read = *read;
-    const bool moved = read->callers != this->settings.callers ||
-                       read->readiness != this->settings.readiness ||
-                       read->directory != this->settings.directory ||
-                       read->peers != this->settings.peers ||
-                       read->store != this->settings.store;
-    this->settings.stop_within = read->stop_within;
-    this->settings.leave_within = read->leave_within;
-    this->settings.directory_keep = read->directory_keep;
-    this->settings.domains = read->domains;
-    this->settings.seeds = read->seeds;
+    const bool moved = !read->same_addresses(this->settings);
+    this->settings.take_bounds(*read);
     this->peers.set_seeds(read->seeds);
     this->repeats.set_bound(
         {read->repeat_ratio, read->repeat_slack, read->repeat_window});
@@ -374,28 +366,13 @@
     {
         hosts = std::max(hosts, node_bounds::unknown_hosts);
     }
-    const std::set<http_address> serving = this->serving_hosts();
+    const std::set<http_address> serving =
+        serving_hosts(this->steering(), this->settings.domains);
     this->targets.set_serving(serving.size(),
                               serving.contains(this->settings.callers));
     this->repeats.set_host_count(hosts);
 }
 
-// Hosts that callers of some domain are sent to.
-template <class Adapter>
-std::set<http_address> node<Adapter>::serving_hosts() const
-{
-    const steering_state known = this->steering();
-    std::set<http_address> serving;
-    for (const auto& [domain, region] : this->settings.domains)
-    {
-        for (const http_address& one : steer(known, {region, domain}))
-        {
-            serving.insert(one);
-        }
-    }
-    return serving;
-}
-
 template <class Adapter>
 steering_state node<Adapter>::steering() const
 {
@@ -404,33 +381,6 @@
                 node_bounds::connections_per_host};
 }
 
-template <class Adapter>
-reader_role node<Adapter>::role_of(const node_settings& settings)
-{
-    const bool seed = std::ranges::find(settings.seeds, settings.peers) !=
-                      settings.seeds.end();
-    if (seed)
-    {
-        return reader_role::seed;
-    }
-    return settings.first_start ? reader_role::first_start
-                                : reader_role::restart;
-}
-
-template <class Adapter>
-member node<Adapter>::describe(const node_settings& settings,
-                               std::uint64_t start)
-{
-    member own;
-    own.address = settings.peers;
-    own.start = incarnation(start);
-    own.domain = settings.domain;
-    own.callers = settings.callers;
-    own.processor_share = settings.processor_share;
-    own.link_mbps = settings.link_mbps;
-    return own;
-}
-
 // A host without a configuration cannot serve; one that leaves should not.
 template <class Adapter>
 bool node<Adapter>::ready() const
--- /dev/null
+++ b/src/node/process/node_identity.cpp
@@ -0,0 +1,32 @@
+#include "node/process/node_identity.hpp"
+
+#include <algorithm>
+
+namespace basilpath
+{
+
+reader_role role_of(const node_settings& settings)
+{
+    const bool seed = std::ranges::find(settings.seeds, settings.peers) !=
+                      settings.seeds.end();
+    if (seed)
+    {
+        return reader_role::seed;
+    }
+    return settings.first_start ? reader_role::first_start
+                                : reader_role::restart;
+}
+
+member describe(const node_settings& settings, std::uint64_t start)
+{
+    member own;
+    own.address = settings.peers;
+    own.start = incarnation(start);
+    own.domain = settings.domain;
+    own.callers = settings.callers;
+    own.processor_share = settings.processor_share;
+    own.link_mbps = settings.link_mbps;
+    return own;
+}
+
+} // namespace basilpath
--- /dev/null
+++ b/src/node/process/node_settings.cpp
@@ -0,0 +1,31 @@
+#include "node/process/node_settings.hpp"
+
+namespace basilpath
+{
+
+bool node_settings::same_addresses(const node_settings& other) const
+{
+    return this->callers == other.callers &&
+           this->readiness == other.readiness &&
+           this->directory == other.directory && this->peers == other.peers &&
+           this->store == other.store;
+}
+
+void node_settings::take_bounds(const node_settings& other)
+{
+    this->stop_within = other.stop_within;
+    this->leave_within = other.leave_within;
+    this->directory_keep = other.directory_keep;
+    this->domains = other.domains;
+    this->seeds = other.seeds;
+    this->repeat_ratio = other.repeat_ratio;
+    this->repeat_slack = other.repeat_slack;
+    this->repeat_window = other.repeat_window;
+}
+
+peer_address peer_address_of(const std::string& ip, const port_range& ports)
+{
+    return peer_address(ip + ":" + std::to_string(ports.first));
+}
+
+} // namespace basilpath
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -11,6 +11,18 @@
 namespace basilpath
 {
 
+/// Ports of a host that are free for traffic between hosts, both ends included.
+struct port_range
+{
+    std::uint16_t first = 0;
+    std::uint16_t last = 0;
+};
+
+/// Where a host of this IP hears other hosts: on the first of the ports, which
+/// are the same on all hosts.
+[[nodiscard]] peer_address peer_address_of(const std::string& ip,
+                                           const port_range& ports);
+
 /// What the platform tells a process when it starts.
 struct node_settings
 {
@@ -67,6 +79,12 @@
     milliseconds directory_keep{5'000};
 
     bool operator==(const node_settings&) const = default;
+
+    /// Tells whether these settings listen and connect where the other ones do.
+    [[nodiscard]] bool same_addresses(const node_settings& other) const;
+
+    /// Takes what may change while the process runs.
+    void take_bounds(const node_settings& other);
 };
 
 } // namespace basilpath
--- a/src/node/process/replica_share.cpp
+++ b/src/node/process/replica_share.cpp
@@ -19,13 +19,13 @@
 
 } // namespace
 
-std::size_t connection_share(std::size_t limit, const serving_hosts& hosts)
+std::size_t connection_share(std::size_t limit, const sharing_hosts& hosts)
 {
     const std::size_t shared = limit * shared_percent / 100;
     return hosts.own ? std::max<std::size_t>(1, shared / hosts.count) : 1;
 }
 
-bool may_send(const replica_usage& usage, const serving_hosts& hosts)
+bool may_send(const replica_usage& usage, const sharing_hosts& hosts)
 {
     const std::size_t places = usage.slots + queue_places;
     const std::size_t share = (places + hosts.count - 1) / hosts.count;
--- a/src/node/process/replica_share.hpp
+++ b/src/node/process/replica_share.hpp
@@ -7,7 +7,7 @@
 {
 
 /// Hosts that share the replicas.
-struct serving_hosts
+struct sharing_hosts
 {
     /// Hosts that callers are sent to, at least one.
     std::size_t count = 1;
@@ -20,7 +20,7 @@
 /// from all hosts together. Answers the load in which a new host, or one that
 /// serves callers with an old address, finds the replica's connections taken.
 [[nodiscard]] std::size_t connection_share(std::size_t limit,
-                                           const serving_hosts& hosts);
+                                           const sharing_hosts& hosts);
 
 /// Calls that are at a replica.
 struct replica_usage
@@ -40,6 +40,6 @@
 /// Answers the load in which more is asked than a replica can do: what waits
 /// at the replica cannot be ordered or moved, what waits here can.
 [[nodiscard]] bool may_send(const replica_usage& usage,
-                            const serving_hosts& hosts);
+                            const sharing_hosts& hosts);
 
 } // namespace basilpath
--- a/src/node/process/steering.cpp
+++ b/src/node/process/steering.cpp
@@ -101,4 +101,19 @@
     return addresses;
 }
 
+std::set<http_address>
+serving_hosts(const steering_state& state,
+              const std::map<failure_domain, region_name>& domains)
+{
+    std::set<http_address> serving;
+    for (const auto& [domain, region] : domains)
+    {
+        for (const http_address& one : steer(state, {region, domain}))
+        {
+            serving.insert(one);
+        }
+    }
+    return serving;
+}
+
 } // namespace basilpath
--- a/src/node/process/steering.hpp
+++ b/src/node/process/steering.hpp
@@ -5,6 +5,7 @@
 #include "node/process/member.hpp"
 
 #include <cstddef>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -38,4 +39,9 @@
 [[nodiscard]] std::vector<http_address>
 steer(const steering_state& state, const directory_question& question);
 
+/// The hosts that callers of some domain are sent to.
+[[nodiscard]] std::set<http_address>
+serving_hosts(const steering_state& state,
+              const std::map<failure_domain, region_name>& domains);
+
 } // namespace basilpath
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -112,7 +112,7 @@
     route_latencies latencies;
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
-    serving_hosts hosts;
+    sharing_hosts hosts;
     std::function<void(const leaf_id&, instant)> told_refused;
 };
 
--- a/src/node/process/view_reader.hpp
+++ b/src/node/process/view_reader.hpp
@@ -1,6 +1,7 @@
 /// Keeps the view up to date from the platform's store.
 #pragma once
 
+#include "node/process/dependency_state.hpp"
 #include "node/process/item_source.hpp"
 #include "node/process/roster.hpp"
 #include "node/process/view_state.hpp"
@@ -51,7 +52,7 @@
     /// Until then other hosts may still bring the view of a starting host.
     instant first_read_at;
     bool whole_read_due = true;
-    bool reachable = false;
+    dependency_state store;
 };
 
 } // namespace basilpath
--- a/src/node/process/view_reader.ipp
+++ b/src/node/process/view_reader.ipp
@@ -19,6 +19,12 @@
 inline constexpr milliseconds least_wait{100};
 inline constexpr milliseconds most_wait{800};
 
+/// A read takes some milliseconds; when the store is slow, up to a second.
+inline constexpr milliseconds read_patience{1'500};
+
+/// A watch answers this much after its wait at the latest.
+inline constexpr milliseconds watch_margin{1'000};
+
 /// How long one watch waits. A reader that is cut off is noticed by then, and
 /// two readers make one call a second between them.
 inline constexpr milliseconds watch_wait{2'000};
@@ -122,7 +128,8 @@
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> view_reader<Runtime, Source>::read_all()
 {
-    const read_result result = co_await this->source.read_all();
+    const read_result result =
+        co_await this->source.read_all(view_reader_bounds::read_patience);
     this->note_end(result);
     if (result.end != read_end::done)
     {
@@ -138,8 +145,9 @@
 {
     const instant started = to_instant(Runtime::clock::now());
     const store_revision after = this->view.view().revision();
-    const read_result result =
-        co_await this->source.watch(after, view_reader_bounds::watch_wait);
+    const read_result result = co_await this->source.watch(
+        after, view_reader_bounds::watch_wait,
+        view_reader_bounds::watch_wait + view_reader_bounds::watch_margin);
     this->note_end(result);
     if (result.end == read_end::compacted)
     {
@@ -180,14 +188,13 @@
     {
         this->retry.reset();
     }
-    if (reached != this->reachable)
+    if (this->store.note(reached))
     {
         log_event(reached ? log_level::info : log_level::warning,
                   reached ? "store_reached" : "store_lost",
                   {{"reason", result.reason},
                    {"revision", this->view.view().revision()}});
     }
-    this->reachable = reached;
 }
 
 } // namespace basilpath
--- a/src/node/version/route.hpp
+++ b/src/node/version/route.hpp
@@ -16,7 +16,8 @@
 {
     service_name service;
 
-    /// Relative to the weights of the other parts.
+    /// Relative to the weights of the other parts. Parts whose weights are all
+    /// zero take equal shares.
     double weight = 1.0;
 };
 
@@ -46,8 +47,9 @@
 
     bool idempotent = false;
 
-    /// Longest time that a caller is kept waiting.
-    milliseconds timeout{0};
+    /// Longest time that a caller is kept waiting. Unless something else is
+    /// said, longer than any deadline of a caller in the deployments.
+    milliseconds timeout{10'000};
 
     /// Answers within this time earn full credit.
     milliseconds objective{0};
--- a/src/node/version/route_table.cpp
+++ b/src/node/version/route_table.cpp
@@ -6,14 +6,32 @@
 namespace basilpath
 {
 
+namespace
+{
+
+// Gives parts whose weights are all zero equal shares: they say nothing, and a
+// route that serves is better for its callers than one that does not.
+void balance(std::vector<split_part>& parts)
+{
+    const bool any = std::ranges::any_of(parts, [](const split_part& one)
+                                         { return one.weight > 0; });
+    if (!any)
+    {
+        std::ranges::for_each(parts, [](split_part& one) { one.weight = 1.0; });
+    }
+}
+
+} // namespace
+
 route_table::route_table(document_number version, std::vector<route> routes,
                          std::map<service_name, service_rule> services,
                          caller_limits limits)
     : number(version), routes(std::move(routes)), services(std::move(services)),
       bounds(limits)
 {
-    for (const route& one : this->routes)
+    for (route& one : this->routes)
     {
+        balance(one.parts);
         this->by_host[one.host].push_back(&one);
     }
     for (auto& [host, list] : this->by_host)
--- a/test/node_reader_test.cpp
+++ b/test/node_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "node/process/dependency_state.hpp"
 #include "node/process/view_reader.ipp"
 #include "virtual_runtime.hpp"
 
@@ -17,14 +18,14 @@
 /// A store that answers as it is told, and counts its calls.
 struct scripted_source
 {
-    boost::asio::awaitable<read_result> read_all()
+    boost::asio::awaitable<read_result> read_all(milliseconds)
     {
         ++this->whole_reads;
         co_return this->answer(0);
     }
 
     boost::asio::awaitable<read_result> watch(store_revision after,
-                                              milliseconds wait)
+                                              milliseconds wait, milliseconds)
     {
         ++this->watches;
         virtual_runtime::timer timer(this->run.executor());
@@ -84,6 +85,19 @@
         run, source, view, members, reader_role::seed};
 };
 
+TEST_CASE("a dependency that was never reached is news once, and so is each "
+          "change")
+{
+    dependency_state store;
+    CHECK(store.note(false));
+    CHECK_FALSE(store.note(false));
+    CHECK(store.note(true));
+    CHECK_FALSE(store.note(true));
+    CHECK(store.note(false));
+    dependency_state reached_at_once;
+    CHECK(reached_at_once.note(true));
+}
+
 TEST_CASE("a calm reader makes a call each two seconds")
 {
     reader_fixture host(0);
