Refuse queries at once when the replicas have more than they can do

Load: callers ask for five to eight times the usual for seconds, half of them repeat at once. Nothing was refused.

Change: overload_gate counts the queries of a host that can still be in time, for each set of shards, and lets in as many as wait at most a third of the objective, by the limit that the older entry learns from waits (wait_limit, which now lets its first window pass before it is held near past use). Others are refused at once, 503 as not run, and come back after 150 to 500 ms, drawn.

Tests: node_overload_test replays the load in virtual time; without the gate two of its four cases fail: 467 in time of a crest where a smaller one gets 549, and 549 to 4,211 requests held for 1.48 s.

--- a/src/node/process/query_service.hpp
+++ b/src/node/process/query_service.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "node/connection/caller_presence.hpp"
+#include "node/process/overload_gate.hpp"
+#include "node/process/return_bounds.hpp"
 #include "node/request/caller_query.hpp"
 #include "node/request/forward_session.hpp"
 #include "node/request/gather_session.hpp"
@@ -60,12 +62,16 @@
     void note_end(request_state& state, const caller_reply& reply);
     [[nodiscard]] caller_reply refuse(request_state& state, unsigned status,
                                       const std::string& outcome);
-    [[nodiscard]] milliseconds return_wait();
+    [[nodiscard]] caller_reply refuse(request_state& state, unsigned status,
+                                      const std::string& outcome,
+                                      const return_range& range);
+    [[nodiscard]] milliseconds return_wait(const return_range& range);
     [[nodiscard]] milliseconds spent(const route& rule, milliseconds patience);
     [[nodiscard]] service_name choose_part(const route& rule);
 
     request_services<Runtime, Transport>& shared;
     std::shared_ptr<const route_table> routes;
+    overload_gate gate;
 
     /// The longest patience seen on each route: that of a first attempt.
     std::map<std::string, milliseconds> first_patience;
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -11,21 +11,6 @@
 namespace basilpath
 {
 
-namespace query_service_bounds
-{
-
-/// When a refused caller may come back: drawn evenly from this range, so that
-/// many who were refused together do not return together. A replica that
-/// pauses is back within it.
-inline constexpr milliseconds least_return{40};
-inline constexpr milliseconds most_return{160};
-
-/// Where there is no configuration, the store or other hosts must be reached
-/// first, and callers are asked to wait this many times as long.
-inline constexpr int start_factor = 4;
-
-} // namespace query_service_bounds
-
 template <runtime Runtime, target_transport Transport>
 boost::asio::awaitable<caller_reply> query_service<Runtime, Transport>::answer(
     std::shared_ptr<const caller_query> query,
@@ -38,8 +23,8 @@
         co_return caller_reply{503,
                                {},
                                "no configuration yet\n",
-                               this->return_wait() *
-                                   query_service_bounds::start_factor,
+                               this->return_wait(return_bounds::after_failure) *
+                                   return_bounds::start_factor,
                                {},
                                {}};
     }
@@ -86,6 +71,14 @@
 query_service<Runtime, Transport>::gather(state_pointer state)
 {
     const route& rule = state->rule;
+    const auto pass = this->gate.enter(
+        rule.gather.shards.front(), state->query->arrived,
+        state->query->arrived + rule.objective - state->summary.spent);
+    if (!pass)
+    {
+        co_return this->refuse(*state, 503, "overloaded",
+                               return_bounds::after_overload);
+    }
     state->journal.reserve(rule.gather.shards.size() * 2);
     const gather_times times{state->query->arrived, state->summary.spent,
                              state->presence->return_trip(),
@@ -94,6 +87,8 @@
     const auto session = std::make_shared<gather_session<Runtime, Transport>>(
         this->shared, state->table, rule, state->query, times, state->journal);
     gather_result result = co_await session->run(state->presence);
+    this->gate.leave(*pass, to_instant(Runtime::clock::now()), result.waited,
+                     rule.objective);
     state->summary.shards = rule.gather.shards.size();
     state->summary.parts = state->summary.shards - result.failed;
     state->summary.repeats = result.repeats;
@@ -193,21 +188,29 @@
 caller_reply
 query_service<Runtime, Transport>::refuse(request_state& state, unsigned status,
                                           const std::string& outcome)
+{
+    return this->refuse(state, status, outcome, return_bounds::after_failure);
+}
+
+template <runtime Runtime, target_transport Transport>
+caller_reply
+query_service<Runtime, Transport>::refuse(request_state& state, unsigned status,
+                                          const std::string& outcome,
+                                          const return_range& range)
 {
     state.summary.outcome = outcome;
-    return {status, {}, state.summary.outcome + "\n", this->return_wait(),
+    return {status, {}, state.summary.outcome + "\n", this->return_wait(range),
             {},     {}};
 }
 
 template <runtime Runtime, target_transport Transport>
-milliseconds query_service<Runtime, Transport>::return_wait()
+milliseconds
+query_service<Runtime, Transport>::return_wait(const return_range& range)
 {
-    const auto range =
-        query_service_bounds::most_return - query_service_bounds::least_return;
-    return query_service_bounds::least_return +
-           milliseconds(static_cast<std::int64_t>(
-               this->shared.run.random() %
-               static_cast<std::uint64_t>(range.count())));
+    const auto spread =
+        static_cast<std::uint64_t>((range.most - range.least).count());
+    return range.least + milliseconds(static_cast<std::int64_t>(
+                             this->shared.run.random() % spread));
 }
 
 // How long the caller has waited in earlier attempts: a first attempt comes
--- a/src/node/request/gather_progress.cpp
+++ b/src/node/request/gather_progress.cpp
@@ -15,6 +15,10 @@
 // breaks them.
 constexpr std::size_t suspect_breaks = 3;
 
+// Of the waits of all shards, the one that this part of them does not exceed
+// stands for the query: replicas of a tenth of the shards pause at any time.
+constexpr double usual_part = 0.8;
+
 } // namespace
 
 gather_progress::gather_progress(const route& rule)
@@ -57,6 +61,27 @@
     return next;
 }
 
+microseconds gather_progress::usual_wait(instant now) const
+{
+    std::vector<microseconds> waits;
+    for (const gather_shard& one : this->shards)
+    {
+        if (const auto wait = one.waited(now))
+        {
+            waits.push_back(*wait);
+        }
+    }
+    if (waits.empty())
+    {
+        return microseconds(0);
+    }
+    const auto place =
+        waits.begin() + static_cast<std::ptrdiff_t>(
+                            usual_part * static_cast<double>(waits.size() - 1));
+    std::ranges::nth_element(waits, place);
+    return *place;
+}
+
 void gather_progress::take_part(gather_shard& one, target_reply reply)
 {
     one.part = std::move(reply);
--- a/src/node/request/gather_progress.hpp
+++ b/src/node/request/gather_progress.hpp
@@ -76,6 +76,10 @@
     /// When the next shard is asked a second time; nothing when none is.
     [[nodiscard]] std::optional<instant> next_hedge() const;
 
+    /// How long the calls of most shards waited here before they left. A few
+    /// shards whose replicas pause do not count.
+    [[nodiscard]] microseconds usual_wait(instant now) const;
+
     /// The part of a shard is in.
     void take_part(gather_shard& one, target_reply reply);
 
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -50,6 +50,9 @@
 
     /// Calls beyond the first of each shard.
     std::size_t repeats = 0;
+
+    /// How long its calls waited here before they left.
+    microseconds waited{0};
 };
 
 /// Asks a replica of each shard, asks a second one where the first is slow or
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -190,6 +190,7 @@
         }
     };
     shard.asked.push_back(to);
+    shard.wanted_at = shard.wanted_at.value_or(this->now());
     ++shard.sends;
     shard.calls.push_back(call);
     this->shared.targets.send(call);
@@ -208,6 +209,10 @@
     else
     {
         shard.arrived = true;
+        if (event.call && !shard.sent_at)
+        {
+            shard.sent_at = event.call->sent;
+        }
         if (event.result.end == call_end::broken && event.call)
         {
             this->progress.note_broken(event.call->to);
@@ -338,12 +343,13 @@
 template <runtime Runtime, target_transport Transport>
 gather_result gather_session<Runtime, Transport>::conclude(gather_end end)
 {
+    gather_result result;
+    result.waited = this->progress.usual_wait(this->now());
     for (std::size_t i = 0; i < this->progress.all().size(); ++i)
     {
         this->give_up_calls(this->progress.shard(i));
     }
     this->note_crashes();
-    gather_result result;
     result.end = end;
     result.failed = this->progress.missing();
     result.repeats = this->repeats;
--- a/src/node/request/gather_shard.hpp
+++ b/src/node/request/gather_shard.hpp
@@ -19,6 +19,10 @@
     /// Replicas that have been asked.
     std::vector<leaf_id> asked;
 
+    /// When the part was first wanted, and when the first call for it left.
+    std::optional<instant> wanted_at;
+    std::optional<instant> sent_at;
+
     /// Calls whose result is awaited.
     std::vector<std::shared_ptr<target_call>> calls;
 
@@ -44,6 +48,22 @@
         return this->arrived || !this->calls.empty();
     }
 
+    /// How long the first call waited here before it left, or has waited;
+    /// nothing when there was none.
+    [[nodiscard]] std::optional<microseconds> waited(instant now) const
+    {
+        if (!this->wanted_at)
+        {
+            return std::nullopt;
+        }
+        const auto sent = std::ranges::find_if(this->calls, [](const auto& call)
+                                               { return call->on_wire; });
+        const instant left = this->sent_at               ? *this->sent_at
+                             : sent != this->calls.end() ? (*sent)->sent
+                                                         : now;
+        return left - *this->wanted_at;
+    }
+
     /// Some call has reached a replica or may have.
     [[nodiscard]] bool may_have_run() const
     {
--- a/src/process/admission_limit.cpp
+++ b/src/process/admission_limit.cpp
@@ -16,12 +16,14 @@
 constexpr double smoothing = 0.2;
 constexpr double in_use_share = 0.7;
 constexpr double room_above_use = 2.0;
-constexpr double room_least = 6.0;
 constexpr std::chrono::seconds use_window{5};
 
 } // namespace
 
-wait_limit::wait_limit() : allowed(limit_at_start) {}
+wait_limit::wait_limit(double least_room)
+    : least_room(least_room), allowed(limit_at_start)
+{
+}
 
 std::size_t wait_limit::limit() const
 {
@@ -68,19 +70,29 @@
     this->fallen_at = now;
 }
 
-// Keeps the limit near what was in use in the last two windows.
+// Keeps the limit near what was in use in the last two windows. Before the end
+// of the first nothing is known of that.
 void wait_limit::note_use(std::size_t in_progress, microseconds now)
 {
-    if (now >= this->window_end)
+    const bool first = !this->window_end || this->most_before == 0;
+    if (!this->window_end)
+    {
+        this->window_end = now + use_window;
+    }
+    if (now >= *this->window_end)
     {
         this->most_before = this->most_of_window;
         this->most_of_window = 0;
         this->window_end = now + use_window;
     }
     this->most_of_window = std::max(this->most_of_window, in_progress);
+    if (first)
+    {
+        return;
+    }
     const auto most =
         static_cast<double>(std::max(this->most_of_window, this->most_before));
-    const double room = std::max(room_least, most * room_above_use);
+    const double room = std::max(this->least_room, most * room_above_use);
     this->allowed = std::min(this->allowed, room);
 }
 
--- a/src/process/admission_limit.hpp
+++ b/src/process/admission_limit.hpp
@@ -6,6 +6,7 @@
 
 #include <concepts>
 #include <cstddef>
+#include <optional>
 
 namespace basilpath
 {
@@ -47,7 +48,11 @@
 class wait_limit
 {
 public:
-    wait_limit();
+    /// Requests that may always be under way while waits are short, however few
+    /// there were lately, where those that find the limit reached can wait.
+    static constexpr double usual_room = 6.0;
+
+    explicit wait_limit(double least_room = usual_room);
 
     [[nodiscard]] std::size_t limit() const;
 
@@ -57,12 +62,13 @@
     void fall(const admission_sample& sample, microseconds now);
     void note_use(std::size_t in_progress, microseconds now);
 
+    double least_room;
     double allowed;
     double smoothed_wait = 0.0;
     double smoothed_target = 0.0;
     double smoothed_service = 0.0;
     microseconds fallen_at{0};
-    microseconds window_end{0};
+    std::optional<microseconds> window_end;
     std::size_t most_of_window = 0;
     std::size_t most_before = 0;
 };
