--- a/src/node/process/overload_gate.cpp
+++ b/src/node/process/overload_gate.cpp
@@ -12,11 +12,11 @@
 
 // More room while waits are short than where requests can wait at the gate, as
 // here they are refused.
-constexpr limit_bounds bounds{2.0, 8.0};
+constexpr limit_bounds gate_limits{2.0, 8.0};
 
 } // namespace
 
-overload_gate::service_gate::service_gate() : limit(bounds) {}
+overload_gate::service_gate::service_gate() : limit(gate_limits) {}
 
 std::optional<gate_pass> overload_gate::enter(const service_name& service,
                                               instant now, instant useful_until)
--- a/src/process/admission_limit.cpp
+++ b/src/process/admission_limit.cpp
@@ -9,12 +9,28 @@
 namespace
 {
 
+// Requests let in before anything has been learned: what a host carries at
+// twice its usual load.
 constexpr double limit_at_start = 16.0;
+
+// No host can answer as many; bounds the growth in a long calm.
 constexpr double limit_most = 4096.0;
+
+// Part of the requests in progress that is kept at each fall, however long the
+// waits were: the next samples tell whether that is enough.
 constexpr double least_fall = 0.4;
+
+// Weight of one request in the averages: about the last five count.
 constexpr double smoothing = 0.2;
+
+// A limit grows only while this part of it is in use.
 constexpr double in_use_share = 0.7;
+
+// The limit stays within this many times what was lately in use.
 constexpr double room_above_use = 2.0;
+
+// Lately: this window and the one before it, short against the minutes in which
+// demand drifts and long against crests.
 constexpr std::chrono::seconds use_window{5};
 
 } // namespace
