--- a/src/process/admission_limit.cpp
+++ b/src/process/admission_limit.cpp
@@ -9,11 +9,11 @@
 namespace
 {
 
-// Requests let in before anything has been learned: what a host carries at
-// twice its usual load.
+// Requests let in before anything has been learned. Not measured: well above
+// what a host has under way on a calm day.
 constexpr double limit_at_start = 16.0;
 
-// No host can answer as many; bounds the growth in a long calm.
+// Bounds the growth in a long calm. Not measured.
 constexpr double limit_most = 4096.0;
 
 // Part of the requests in progress that is kept at each fall, however long the
@@ -29,8 +29,7 @@
 // The limit stays within this many times what was lately in use.
 constexpr double room_above_use = 2.0;
 
-// Lately: this window and the one before it, short against the minutes in which
-// demand drifts and long against crests.
+// Lately: this window and the one before it. Not measured.
 constexpr std::chrono::seconds use_window{5};
 
 } // namespace
