--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -1,6 +1,7 @@
 #include "node/connection/http_client.hpp"
 
 #include "node/connection/endpoint.hpp"
+#include "node/connection/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -99,8 +100,7 @@
         this->fail("connect: " + error.message());
         co_return false;
     }
-    boost::system::error_code ignored;
-    this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    set_low_delay(this->stream.socket());
     this->connected = true;
     co_return true;
 }
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -1,5 +1,6 @@
 #include "node/connection/http_session.hpp"
 
+#include "node/connection/socket_options.hpp"
 #include "process/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -11,9 +12,6 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <chrono>
 #include <exception>
 #include <string>
@@ -40,16 +38,6 @@
     return to_instant(std::chrono::steady_clock::now());
 }
 
-// The kernel's estimate of the round trip to the caller; zero when it has none.
-microseconds round_trip(asio::ip::tcp::socket& socket)
-{
-    tcp_info info{};
-    socklen_t size = sizeof(info);
-    const int failed = ::getsockopt(socket.native_handle(), IPPROTO_TCP,
-                                    TCP_INFO, &info, &size);
-    return microseconds(failed != 0 ? 0 : info.tcpi_rtt);
-}
-
 // The status that tells a caller what is wrong with its request.
 http::status status_of(const boost::system::error_code& why)
 {
@@ -70,9 +58,7 @@
                            std::shared_ptr<http_server_state> server)
     : socket(std::move(socket)), server(std::move(server)), waiting_since(now())
 {
-    boost::system::error_code ignored;
-    // Without this a small answer waits for the acknowledgement of the last.
-    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    set_low_delay(this->socket);
 }
 
 asio::awaitable<void> http_session::run()
--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -1,6 +1,6 @@
 #include "node/connection/peer_datagram.hpp"
 
-#include <nlohmann/json.hpp>
+#include "node/connection/message_pack.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -18,13 +18,16 @@
 // Strikes are told for minutes at the most.
 constexpr microseconds longest_age = std::chrono::hours(1);
 
+// Place of a field that hosts of the first release do not send.
+constexpr std::size_t links_field = 9;
+
 // Messages are arrays in MessagePack, so that names of fields take no room.
 json to_json(const member& one)
 {
     return json::array({one.address.value, one.counter,
                         static_cast<unsigned>(one.state), one.start.value,
                         one.domain.value, one.callers.value, one.ready,
-                        one.processor_share, one.link_mbps});
+                        one.processor_share, one.link_mbps, one.links.value});
 }
 
 // Tells whether a description can be one of a host of ours.
@@ -55,6 +58,10 @@
     one.ready = from.at(6).get<bool>();
     one.processor_share = from.at(7).get<double>();
     one.link_mbps = from.at(8).get<double>();
+    if (from.size() > links_field)
+    {
+        one.links = peer_address(from.at(links_field).get<std::string>());
+    }
     return one;
 }
 
@@ -91,29 +98,6 @@
     return update;
 }
 
-std::string pack(const json& message)
-{
-    std::string bytes;
-    json::to_msgpack(message, bytes);
-    return bytes;
-}
-
-// Reads a message; nothing when a field is missing or of another type, which
-// the JSON library tells by an exception.
-template <class Result, class Reader>
-std::optional<Result> unpack(std::string_view bytes, Reader reader)
-{
-    const json message = json::from_msgpack(bytes, true, false);
-    try
-    {
-        return reader(message);
-    }
-    catch (const json::exception&)
-    {
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 std::string encode_datagram(const peer_datagram& datagram, instant now)
--- /dev/null
+++ b/src/node/connection/socket_options.cpp
@@ -0,0 +1,36 @@
+#include "node/connection/socket_options.hpp"
+
+#include <boost/asio/detail/socket_option.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace basilpath
+{
+
+void set_low_delay(boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void set_acknowledgement_limit(boost::asio::ip::tcp::socket& socket,
+                               milliseconds limit)
+{
+    using user_timeout =
+        boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                    TCP_USER_TIMEOUT>;
+    boost::system::error_code ignored;
+    socket.set_option(user_timeout(static_cast<int>(limit.count())), ignored);
+}
+
+microseconds round_trip(boost::asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const int failed = ::getsockopt(socket.native_handle(), IPPROTO_TCP,
+                                    TCP_INFO, &info, &size);
+    return microseconds(failed != 0 ? 0 : info.tcpi_rtt);
+}
+
+} // namespace basilpath
--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -33,6 +34,9 @@
         std::function<void(std::shared_ptr<target_call>, target_result)> result;
         std::function<void(std::shared_ptr<target_connection>, bool made)>
             closed;
+
+        /// Told of bytes that were sent or received.
+        std::function<void(std::size_t)> transferred;
     };
 
     target_connection(const boost::asio::any_io_executor& executor,
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -1,3 +1,4 @@
+#include "node/connection/socket_options.hpp"
 #include "node/connection/target_connection.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -43,9 +44,7 @@
         this->address, boost::asio::as_tuple(boost::asio::use_awaitable));
     if (!error && this->socket.is_open())
     {
-        boost::system::error_code ignored;
-        // Requests are small and must not wait for acknowledgements.
-        this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        set_low_delay(this->socket);
         this->made = true;
         this->changed = now();
         this->told.ready(self);
@@ -70,6 +69,7 @@
     const auto patience =
         std::chrono::duration_cast<milliseconds>(this->call->deadline - now);
     this->outgoing = Codec::encode_call(*this->call, patience);
+    this->told.transferred(this->outgoing.size());
     const auto self = this->shared_from_this();
     boost::asio::async_write(
         this->socket, boost::asio::buffer(this->outgoing),
@@ -108,6 +108,7 @@
             co_return;
         }
         this->buffer.commit(count);
+        this->told.transferred(count);
         if (!this->parse())
         {
             co_return;
--- a/src/node/process/member.hpp
+++ b/src/node/process/member.hpp
@@ -34,6 +34,9 @@
     /// Where callers connect.
     http_address callers;
 
+    /// Where it takes subqueries of other hosts; empty for nowhere.
+    peer_address links;
+
     /// It has a configuration and can serve.
     bool ready = false;
 
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -2,7 +2,10 @@
 #pragma once
 
 #include "node/connection/http_server.hpp"
+#include "node/process/delegate_links.hpp"
+#include "node/process/delegate_pool.hpp"
 #include "node/process/directory_question.hpp"
+#include "node/process/link_server.hpp"
 #include "node/process/node_identity.hpp"
 #include "node/process/node_settings.hpp"
 #include "node/process/peer_exchange.hpp"
@@ -10,7 +13,9 @@
 #include "node/process/repeat_budget.hpp"
 #include "node/process/roster.hpp"
 #include "node/process/steering.hpp"
+#include "node/process/subquery_service.hpp"
 #include "node/process/target_pool.hpp"
+#include "node/process/traffic_meter.hpp"
 #include "node/process/view_reader.hpp"
 #include "node/process/view_state.hpp"
 #include "node/version/decoded_item.hpp"
@@ -65,6 +70,9 @@
     void take_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> follow_members();
     void share_bounds();
+    void choose_delegates(const std::set<http_address>& serving);
+    void accept_links();
+    void log_traffic() const;
     [[nodiscard]] steering_state steering() const;
     [[nodiscard]] bool ready() const;
 
@@ -75,13 +83,17 @@
     node_settings last_read;
     settings_source reread;
     real_runtime run;
+    traffic_meter traffic;
     pool targets;
     repeat_budget repeats;
     request_log requests;
     node_metrics metrics;
     crash_detector crashes;
+    delegate_links links;
+    delegate_pool delegates;
     shared_services shared;
     query_service<real_runtime, pool> queries;
+    subquery_service<real_runtime, pool> subqueries;
     view_state view;
     roster members;
     peer_exchange peers;
@@ -91,6 +103,7 @@
     node_http_server readiness;
     node_http_server directory;
     std::optional<node_http_server> exposition;
+    std::optional<link_server> incoming_links;
     std::shared_ptr<const route_table> routes;
     std::chrono::steady_clock::time_point started;
     bool leaving = false;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -1,6 +1,7 @@
 #include "node/process/node.hpp"
 
 #include "node/process/query_service.ipp"
+#include "node/process/subquery_service.ipp"
 #include "node/process/target_pool.ipp"
 #include "node/process/view_reader.ipp"
 #include "process/log.hpp"
@@ -55,6 +56,9 @@
 /// of those rounds.
 inline constexpr std::uint64_t reload_rounds = 4;
 
+/// Traffic between failure domains is logged once in this many rounds.
+inline constexpr std::uint64_t traffic_rounds = 20;
+
 /// A host that has just started may not know all others yet, and takes them to
 /// be this many for a while.
 inline constexpr milliseconds discovery_time{3'000};
@@ -67,18 +71,22 @@
                     settings_source source)
     : context(context), settings(std::move(initial)), last_read(this->settings),
       reread(std::move(source)), run(context, std::random_device{}()),
-      targets(context, this->settings.domain),
+      targets(context, this->settings.domain, this->traffic),
       repeats({this->settings.repeat_ratio, this->settings.repeat_slack,
                this->settings.repeat_window}),
       crashes([this](const crash_strike& one) { this->take_strike(one); }),
-      shared{this->run,      this->targets, this->repeats,
-             this->requests, this->metrics, this->crashes},
-      queries(this->shared),
+      links(context, this->traffic),
+      delegates(this->settings.links,
+                [this](const peer_address& to, const link_message& message)
+                { this->links.send(to, message); }),
+      shared{this->run,     this->targets, this->repeats,  this->requests,
+             this->metrics, this->crashes, this->delegates},
+      queries(this->shared), subqueries(this->shared),
       view([this](const item_change& change) { this->take_item(change); }),
       members(describe(this->settings, this->run.random()),
               to_instant(std::chrono::steady_clock::now())),
       peers(context, this->run, this->members, this->view, this->crashes,
-            this->settings.seeds),
+            this->traffic, this->settings.seeds),
       store(context.get_executor(), this->settings.store),
       reader(this->run, this->store, this->view, this->members,
              role_of(this->settings)),
@@ -104,6 +112,10 @@
                                         const std::shared_ptr<caller_presence>&)
                                  { return this->answer_metrics(); });
     }
+    if (!this->settings.links.value.empty())
+    {
+        this->accept_links();
+    }
     this->targets.on_refused([this](const leaf_id& one, instant now)
                              { this->crashes.note_down(one, now); });
     this->started = std::chrono::steady_clock::now();
@@ -124,6 +136,11 @@
         this->exposition->start();
     }
     this->targets.start();
+    this->links.start(this->delegates);
+    if (this->incoming_links)
+    {
+        this->incoming_links->start();
+    }
     this->peers.start();
     boost::asio::co_spawn(this->context, this->reader.run(),
                           boost::asio::detached);
@@ -171,6 +188,7 @@
 {
     const instant now = to_instant(std::chrono::steady_clock::now());
     node_figures figures;
+    figures.traffic = this->traffic;
     figures.store_calls = this->store.calls();
     figures.datagrams_sent = this->peers.sent();
     figures.log_lines_dropped = dropped_log_lines();
@@ -259,7 +277,8 @@
             this->callers.stop_accepting();
             this->callers.close_idle();
         }
-        if (known && this->callers.busy_count() == 0)
+        if (known && this->callers.busy_count() == 0 &&
+            this->subqueries.busy_count() == 0)
         {
             break;
         }
@@ -325,6 +344,7 @@
     this->routes = table;
     this->targets.set_routes(table);
     this->queries.set_routes(table);
+    this->subqueries.set_routes(table);
     this->callers.set_limits(table->limits());
     const bool was_ready = this->members.own().ready;
     this->members.set_ready(true);
@@ -354,9 +374,28 @@
         {
             this->reload();
         }
+        if (rounds % node_bounds::traffic_rounds == 0)
+        {
+            this->log_traffic();
+        }
     }
 }
 
+// Logs what has gone to other failure domains, as bytes between them cost.
+template <class Adapter>
+void node<Adapter>::log_traffic() const
+{
+    const auto total = [this](traffic_purpose purpose)
+    {
+        return this->traffic.total(purpose);
+    };
+    log_event(log_level::info, "domain_traffic",
+              {{"calls", total(traffic_purpose::calls)},
+               {"subqueries", total(traffic_purpose::subqueries)},
+               {"membership", total(traffic_purpose::membership)},
+               {"views", total(traffic_purpose::views)}});
+}
+
 template <class Adapter>
 void node<Adapter>::share_bounds()
 {
@@ -371,6 +410,51 @@
     this->targets.set_serving(serving.size(),
                               serving.contains(this->settings.callers));
     this->repeats.set_host_count(hosts);
+    this->choose_delegates(serving);
+}
+
+// Takes the hosts of other failure domains that serve callers, as they have
+// connections to each replica.
+template <class Adapter>
+void node<Adapter>::choose_delegates(const std::set<http_address>& serving)
+{
+    std::vector<delegate> wanted;
+    std::size_t near = 0;
+    bool all_linked = true;
+    for (const member& one : this->members.live())
+    {
+        const bool serves = one.ready && one.state == member_state::alive &&
+                            serving.contains(one.callers);
+        near += serves && one.domain == this->settings.domain ? 1 : 0;
+        all_linked = all_linked && (!serves || !one.links.value.empty());
+        if (serves && one.domain != this->settings.domain &&
+            !one.links.value.empty())
+        {
+            wanted.push_back({one.links, one.domain});
+        }
+    }
+    this->delegates.set_hosts(wanted);
+    this->targets.set_near(all_linked ? near : serving.size());
+}
+
+// Listens for hosts that ask this one to gather.
+template <class Adapter>
+void node<Adapter>::accept_links()
+{
+    using link = typename subquery_service<real_runtime, pool>::link;
+    this->incoming_links.emplace(
+        this->context, this->settings.links, this->traffic,
+        [this](link_server::sender send)
+        {
+            const auto made =
+                std::make_shared<link>(this->subqueries, std::move(send));
+            return link_server::link_handler{[made](const link_message& message)
+                                             { return made->take(message); },
+                                             [made]
+                                             {
+                                                 made->close();
+                                             }};
+        });
 }
 
 template <class Adapter>
--- a/src/node/process/node_identity.cpp
+++ b/src/node/process/node_identity.cpp
@@ -24,6 +24,7 @@
     own.start = incarnation(start);
     own.domain = settings.domain;
     own.callers = settings.callers;
+    own.links = settings.links;
     own.processor_share = settings.processor_share;
     own.link_mbps = settings.link_mbps;
     return own;
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -52,6 +52,15 @@
     this->follow("basilpath_node_requests_not_logged_total",
                  "Failed requests not logged, to bound the volume.",
                  figures.requests_not_logged);
+    for (std::size_t i = 0; i < traffic_names.size(); ++i)
+    {
+        counter& shown = this->registry.add_counter(
+            "basilpath_node_domain_bytes_total",
+            "Payload between failure domains by purpose.",
+            {{"purpose", std::string(traffic_names.at(i))}});
+        shown.add(figures.traffic.total(static_cast<traffic_purpose>(i)) -
+                  shown.value());
+    }
     const auto gauge =
         [this](std::string_view name, std::string_view help, double value)
     {
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -1,6 +1,7 @@
 /// Metrics of a node.
 #pragma once
 
+#include "node/process/traffic_meter.hpp"
 #include "node/request/request_journal.hpp"
 #include "process/metrics_registry.hpp"
 
@@ -24,6 +25,7 @@
     double configuration_version = 0;
     double view_age_seconds = 0;
     double connections = 0;
+    traffic_meter traffic;
 };
 
 /// Counts requests by route and outcome, and decisions by kind. The names
--- a/src/node/process/node_settings.cpp
+++ b/src/node/process/node_settings.cpp
@@ -8,7 +8,7 @@
     return this->callers == other.callers &&
            this->readiness == other.readiness &&
            this->directory == other.directory && this->peers == other.peers &&
-           this->store == other.store;
+           this->links == other.links && this->store == other.store;
 }
 
 void node_settings::take_bounds(const node_settings& other)
@@ -28,4 +28,11 @@
     return peer_address(ip + ":" + std::to_string(ports.first));
 }
 
+peer_address link_address_of(const std::string& ip, const port_range& ports)
+{
+    return ports.last > ports.first
+               ? peer_address(ip + ":" + std::to_string(ports.first + 1))
+               : peer_address{};
+}
+
 } // namespace basilpath
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -23,6 +23,11 @@
 [[nodiscard]] peer_address peer_address_of(const std::string& ip,
                                            const port_range& ports);
 
+/// Where a host of this IP takes subqueries: on the second of the ports; empty
+/// when there is only one.
+[[nodiscard]] peer_address link_address_of(const std::string& ip,
+                                           const port_range& ports);
+
 /// What the platform tells a process when it starts.
 struct node_settings
 {
@@ -48,6 +53,9 @@
     /// Where other nodes connect; the port is the same on all hosts.
     peer_address peers;
 
+    /// Where other nodes send subqueries; empty when no port is free.
+    peer_address links;
+
     /// Hosts to ask for others; may be old or down.
     std::vector<peer_address> seeds;
 
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -78,10 +78,10 @@
 
 peer_exchange::peer_exchange(asio::io_context& context, real_runtime& run,
                              roster& members, view_state& view,
-                             crash_detector& crashes,
+                             crash_detector& crashes, traffic_meter& traffic,
                              std::vector<peer_address> seeds)
     : context(context), run(run), members(members), view(view),
-      crashes(crashes), seeds(std::move(seeds)),
+      crashes(crashes), traffic(traffic), seeds(std::move(seeds)),
       socket(context, udp_endpoint(members.own().address)),
       server(context, members.own().address.value,
              [this](std::shared_ptr<http_request> request,
@@ -187,6 +187,7 @@
                   {{"from", from.value}, {"reason", client.last_error()}});
         co_return;
     }
+    this->count_far(from, traffic_purpose::views, response->body().size());
     // How old the other view is comes with its next datagram.
     this->view.apply(*update, std::nullopt);
 }
@@ -295,6 +296,18 @@
         asio::ip::udp::endpoint(endpoint->address(), endpoint->port()), 0,
         lost);
     ++this->sent_count;
+    this->count_far(to, traffic_purpose::membership, bytes.size());
+}
+
+// Counts bytes to or from a host of another failure domain.
+void peer_exchange::count_far(const peer_address& other,
+                              traffic_purpose purpose, std::size_t bytes)
+{
+    const member* const known = this->members.find(other);
+    if (known && known->domain != this->members.own().domain)
+    {
+        this->traffic.add(purpose, bytes);
+    }
 }
 
 void peer_exchange::tell(const crash_strike& strike)
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -5,6 +5,7 @@
 #include "node/connection/peer_datagram.hpp"
 #include "node/process/crash_detector.hpp"
 #include "node/process/roster.hpp"
+#include "node/process/traffic_meter.hpp"
 #include "node/process/view_state.hpp"
 #include "process/runtime.hpp"
 
@@ -26,7 +27,7 @@
 public:
     peer_exchange(boost::asio::io_context& context, real_runtime& run,
                   roster& members, view_state& view, crash_detector& crashes,
-                  std::vector<peer_address> seeds);
+                  traffic_meter& traffic, std::vector<peer_address> seeds);
 
     /// Starts to listen and to probe.
     void start();
@@ -52,6 +53,8 @@
     boost::asio::awaitable<void> fetch(peer_address from);
     boost::asio::awaitable<http_response>
     answer_view(std::shared_ptr<http_request> request);
+    void count_far(const peer_address& other, traffic_purpose purpose,
+                   std::size_t bytes);
     void take(const peer_datagram& datagram);
     void take_view(const peer_datagram& datagram, instant now);
     void send(const peer_address& to, datagram_kind kind, store_revision known);
@@ -64,6 +67,7 @@
     roster& members;
     view_state& view;
     crash_detector& crashes;
+    traffic_meter& traffic;
     std::vector<peer_address> seeds;
     boost::asio::ip::udp::socket socket;
     node_http_server server;
--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -11,9 +11,9 @@
 namespace
 {
 
-// A replica in another failure domain must be faster by this much: a round
-// trip between domains takes 1 to 2 ms, the rest stands for the bytes.
-constexpr microseconds distance_cost = 8ms;
+// Part of that cost which a replica saves that stands where others of the
+// query are asked through one host: its bytes are merged with theirs.
+constexpr microseconds company_gain = 5ms;
 
 // Replicas whose expected times differ by less are taken in turn, so that
 // hosts with the same view do not all choose the same one.
@@ -73,7 +73,9 @@
         microseconds cost = expected;
         if (query.domain && one.target->domain != *query.domain)
         {
-            cost += distance_cost;
+            const bool company =
+                query.preferred && one.target->domain == *query.preferred;
+            cost += query.distance - (company ? company_gain : 0us);
         }
         if (one.lapsed)
         {
--- a/src/node/process/placement.hpp
+++ b/src/node/process/placement.hpp
@@ -28,6 +28,10 @@
 /// not leave.
 [[nodiscard]] bool may_be_asked(const candidate& one);
 
+/// A replica in another failure domain must be faster by this much: a round
+/// trip between domains takes 1 to 2 ms, the rest stands for the bytes.
+inline constexpr microseconds distance_cost{8'000};
+
 /// What a choice depends on.
 struct placement_query
 {
@@ -44,6 +48,13 @@
 
     /// Spreads requests among equals.
     std::uint64_t random = 0;
+
+    /// Of the other failure domains the one whose replicas are preferred, as
+    /// others of the query are asked there too; null for none.
+    const failure_domain* preferred = nullptr;
+
+    /// What a replica in another failure domain costs.
+    microseconds distance = distance_cost;
 };
 
 /// A choice and what it was based on.
--- a/src/node/process/request_log.cpp
+++ b/src/node/process/request_log.cpp
@@ -55,6 +55,16 @@
                    {"asked", one.unavailable.asked}});
         return;
     }
+    if (one.what >= decision::delegated)
+    {
+        log_event(log_level::info, to_text(one.what),
+                  {{"request", id.value},
+                   {"at_us", offset},
+                   {"shard", one.shard},
+                   {"host", one.host.value},
+                   {"replica", one.replica.value}});
+        return;
+    }
     if (one.what == decision::gate_full)
     {
         log_event(log_level::info, to_text(one.what),
--- a/src/node/process/roster.cpp
+++ b/src/node/process/roster.cpp
@@ -192,6 +192,12 @@
     return result;
 }
 
+const member* roster::find(const peer_address& address) const
+{
+    const auto found = this->records.find(address);
+    return found == this->records.end() ? nullptr : &found->second.described;
+}
+
 std::vector<peer_address> roster::peers() const
 {
     std::vector<peer_address> result;
--- a/src/node/process/roster.hpp
+++ b/src/node/process/roster.hpp
@@ -49,6 +49,9 @@
     /// Live members, this host first.
     [[nodiscard]] std::vector<member> live() const;
 
+    /// What is known of another host, or null.
+    [[nodiscard]] const member* find(const peer_address& address) const;
+
     /// Live members other than this host.
     [[nodiscard]] std::vector<peer_address> peers() const;
 
--- a/src/node/process/route_latencies.hpp
+++ b/src/node/process/route_latencies.hpp
@@ -5,6 +5,7 @@
 #include "process/instant.hpp"
 #include "process/latency_tracker.hpp"
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -16,8 +17,9 @@
 class route_latencies
 {
 public:
-    /// A call of the route was answered with success.
-    void note(const std::string& route, instant now, microseconds latency);
+    /// A call of the route was answered with success, by a body of this size.
+    void note(const std::string& route, instant now, microseconds latency,
+              std::size_t bytes);
 
     /// What calls of the route take; a guess before any was answered.
     [[nodiscard]] route_latency of(const std::string& route) const;
@@ -26,6 +28,7 @@
     struct statistics
     {
         latency_tracker recent;
+        double mean_bytes = 0;
         route_latency now;
         unsigned since_update = 0;
     };
--- a/src/node/process/route_latency.hpp
+++ b/src/node/process/route_latency.hpp
@@ -13,6 +13,9 @@
 
     /// A call that has taken longer than this is likely to be a straggler.
     microseconds slow{0};
+
+    /// Mean bytes of the body of an answer; zero before any has been seen.
+    double answer_bytes = 0;
 };
 
 } // namespace basilpath
--- /dev/null
+++ b/src/node/process/subquery_service.hpp
@@ -0,0 +1,74 @@
+/// Serves the subqueries of other hosts.
+#pragma once
+
+#include "node/request/request_services.hpp"
+#include "node/request/subquery.hpp"
+#include "node/request/subquery_session.hpp"
+#include "node/version/route_table.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace basilpath
+{
+
+/// Runs a session for each subquery; those of one link end with it.
+template <runtime Runtime, target_transport Transport>
+class subquery_service
+{
+public:
+    using session = subquery_session<Runtime, Transport>;
+
+    /// Sends a message over the link on which the subqueries came.
+    using sender = std::function<void(const link_message&)>;
+
+    /// The subqueries of one link.
+    class link
+    {
+    public:
+        link(subquery_service& owner, sender send);
+
+        /// Takes a message. False when it is none that a host sends that asks.
+        bool take(const link_message& message);
+
+        /// The link has ended.
+        void close();
+
+    private:
+        friend class subquery_service;
+
+        void start(const subquery& asked);
+        void refuse(const subquery& asked);
+
+        subquery_service& owner;
+        sender send;
+        std::map<subquery_number, std::weak_ptr<session>> sessions;
+    };
+
+    explicit subquery_service(request_services<Runtime, Transport>& shared)
+        : shared(shared)
+    {
+    }
+
+    /// Takes the routes for subqueries to come.
+    void set_routes(const std::shared_ptr<const route_table>& table)
+    {
+        this->routes = table;
+    }
+
+    /// Subqueries that are being served.
+    [[nodiscard]] std::size_t busy_count() const
+    {
+        return this->running;
+    }
+
+private:
+    request_services<Runtime, Transport>& shared;
+    std::shared_ptr<const route_table> routes;
+    std::size_t running = 0;
+};
+
+} // namespace basilpath
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -6,6 +6,7 @@
 #include "node/process/replica_list.hpp"
 #include "node/process/replica_share.hpp"
 #include "node/process/route_latencies.hpp"
+#include "node/process/traffic_meter.hpp"
 #include "node/request/target_call.hpp"
 #include "node/version/replica.hpp"
 #include "node/version/route_table.hpp"
@@ -13,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <set>
@@ -29,7 +31,8 @@
 class target_pool
 {
 public:
-    target_pool(boost::asio::io_context& context, failure_domain domain);
+    target_pool(boost::asio::io_context& context, failure_domain domain,
+                traffic_meter& traffic);
 
     /// Has `told` called whenever a replica refuses connections.
     void on_refused(const std::function<void(const leaf_id&, instant)>& told)
@@ -55,6 +58,13 @@
     /// such a host keeps a connection to each replica in advance.
     void set_serving(std::size_t hosts, bool serves);
 
+    /// Takes the number of hosts that send calls to the replicas of this host's
+    /// failure domain; the others have them asked through those.
+    void set_near(std::size_t hosts)
+    {
+        this->near_hosts = std::max<std::size_t>(hosts, 1);
+    }
+
     /// The replicas of a service.
     [[nodiscard]] std::vector<candidate>
     candidates(const service_name& service) const;
@@ -108,11 +118,13 @@
 
     boost::asio::io_context& context;
     failure_domain own_domain;
+    traffic_meter& traffic;
     replica_list<entry> replicas;
     route_latencies latencies;
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
     sharing_hosts hosts;
+    std::size_t near_hosts = 1;
     std::function<void(const leaf_id&, instant)> told_refused;
 };
 
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -35,8 +35,8 @@
 
 template <target_codec Codec>
 target_pool<Codec>::target_pool(boost::asio::io_context& context,
-                                failure_domain domain)
-    : context(context), own_domain(std::move(domain))
+                                failure_domain domain, traffic_meter& traffic)
+    : context(context), own_domain(std::move(domain)), traffic(traffic)
 {
 }
 
@@ -206,6 +206,14 @@
             this->take_closed(owner, ended, made);
         }
     };
+    const bool far = one->target.domain != this->own_domain;
+    told.transferred = [this, far](std::size_t bytes)
+    {
+        if (far)
+        {
+            this->traffic.add(traffic_purpose::calls, bytes);
+        }
+    };
     const auto opened = std::make_shared<connection>(
         this->context.get_executor(), *address, std::move(told));
     one->connections.push_back(opened);
@@ -255,8 +263,9 @@
 template <target_codec Codec>
 bool target_pool<Codec>::has_room(const entry& one) const
 {
+    const bool near = one.target.domain == this->own_domain;
     return may_send({one.target.slots, one.carried(), one.health.others(now())},
-                    this->hosts);
+                    {near ? this->near_hosts : this->hosts.count, true});
 }
 
 template <target_codec Codec>
@@ -270,7 +279,8 @@
         const bool good = result.reply.success();
         if (good)
         {
-            this->latencies.note(call->route, time, result.latency);
+            this->latencies.note(call->route, time, result.latency,
+                                 result.reply.body.size());
         }
         one->health.on_answer(time, result.latency,
                               this->latency(call->route).usual,
--- a/src/node/request/caller_query.hpp
+++ b/src/node/request/caller_query.hpp
@@ -46,6 +46,18 @@
     instant arrived{};
 };
 
+/// Bytes that the request takes when it is passed on, nearly.
+[[nodiscard]] inline std::size_t wire_size(const caller_query& query)
+{
+    std::size_t size =
+        query.method.size() + query.target.size() + query.body.size();
+    for (const message_header& one : query.headers)
+    {
+        size += one.name.size() + one.value.size();
+    }
+    return size;
+}
+
 /// What the caller gets.
 struct caller_reply
 {
--- a/src/node/request/gather_progress.cpp
+++ b/src/node/request/gather_progress.cpp
@@ -90,7 +90,7 @@
 
 void gather_progress::fail_if_idle(gather_shard& one)
 {
-    if (one.calls.empty() && !one.part && !one.failed)
+    if (one.idle() && !one.part && !one.failed)
     {
         one.failed = true;
         ++this->failures;
@@ -100,9 +100,8 @@
 std::vector<std::size_t> gather_progress::release_held()
 {
     std::vector<std::size_t> released;
-    const bool any_call =
-        std::ranges::any_of(this->shards, [](const gather_shard& one)
-                            { return !one.calls.empty(); });
+    const bool any_call = std::ranges::any_of(
+        this->shards, [](const gather_shard& one) { return !one.idle(); });
     if (this->suspect() && any_call)
     {
         return released;
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/caller_presence.hpp"
 #include "node/process/gather_policy.hpp"
+#include "node/request/gather_delegations.hpp"
 #include "node/request/gather_progress.hpp"
 #include "node/request/request_journal.hpp"
 #include "node/request/request_services.hpp"
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace basilpath
@@ -51,14 +53,14 @@
 
     /// Calls beyond the first of each shard.
     std::size_t repeats = 0;
-
     /// How long its calls waited here before they left.
     microseconds waited{0};
 };
 
 /// Asks a replica of each shard, asks a second one where the first is slow or
-/// fails, and answers with what is in when the objective is near. The routes
-/// stay those with which the query began.
+/// fails, and answers with what is in when the objective is near. Replicas of
+/// other failure domains are asked through a host there where that saves bytes.
+/// The routes stay those with which the query began.
 template <runtime Runtime, target_transport Transport>
 class gather_session
     : public std::enable_shared_from_this<gather_session<Runtime, Transport>>
@@ -83,11 +85,33 @@
         target_result result;
     };
 
+    /// A report of another host; nothing when none will come any more.
+    struct report_event
+    {
+        subquery_number number;
+        std::optional<subquery_report> report;
+    };
+
+    using any_event = std::variant<shard_event, report_event>;
+
     [[nodiscard]] std::size_t shards_with_replica() const;
     void ask(std::size_t number);
     void take_back_unsent(std::size_t number);
     void start_call(std::size_t number, const leaf_id& to);
+    void choose_domain();
+    void ask_remote();
+    bool delegate_shards(const failure_domain& domain,
+                         const std::vector<remote_choice>& shards);
+    [[nodiscard]] std::string bounding_record() const;
     void take(shard_event event);
+    void take(report_event event);
+    void take_parts(subquery_report& report);
+    void take_lack(const reported_lack& lack,
+                   const gather_delegations::sent_subquery& from,
+                   subquery_number number);
+    void lose_subquery(subquery_number number);
+    void withdraw(std::size_t number);
+    void note_overdue(std::size_t number, instant now);
     void note_result(const shard_event& event);
     void retry_or_fail(std::size_t number);
     void settle_held();
@@ -107,8 +131,16 @@
     request_journal& journal;
     microseconds usual{0};
     gather_progress progress;
+    gather_delegations delegations;
+
+    /// The failure domain that is preferred where none of the shard's replicas
+    /// stands here.
+    std::optional<failure_domain> company;
     std::size_t repeats = 0;
-    mailbox<Runtime, shard_event> events;
+
+    /// The first calls have been made; what is asked now are repeats.
+    bool first_asked = false;
+    mailbox<Runtime, any_event> events;
 };
 
 } // namespace basilpath
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -3,6 +3,7 @@
 #include "node/request/record_merge.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -51,12 +52,14 @@
 
     // Step 2. Ask one replica of each shard.
     this->usual = this->shared.targets.latency(this->rule.name).usual;
+    this->choose_domain();
     for (std::size_t shard = 0; shard < this->progress.all().size(); ++shard)
     {
         this->shared.repeats.note_request(this->rule.gather.shards[shard],
                                           this->now());
         this->ask(shard);
     }
+    this->ask_remote();
     if (this->progress.out_of_reach())
     {
         co_return this->conclude(this->lost_reach());
@@ -70,9 +73,11 @@
             to_clock<typename Runtime::clock>(until));
         while (event)
         {
-            this->take(std::move(*event));
+            std::visit([this](auto& one) { this->take(std::move(one)); },
+                       *event);
             event = this->events.take();
         }
+        this->ask_remote();
         const instant time = this->now();
         if (presence->gone())
         {
@@ -97,6 +102,7 @@
             co_return this->conclude(gather_end::timed_out);
         }
         this->hedge_due(time);
+        this->ask_remote();
     }
 }
 
@@ -123,15 +129,16 @@
     const std::vector<candidate> candidates =
         this->shared.targets.candidates(service);
     const auto choice = choose_replica(
-        candidates, {time, this->usual, &this->shared.targets.domain(),
-                     shard.asked, this->shared.run.random()});
+        candidates,
+        {time, this->usual, &this->shared.targets.domain(), shard.asked,
+         this->shared.run.random(), this->company ? &*this->company : nullptr});
     if (choice)
     {
         this->take_back_unsent(number);
     }
     const bool repeat = shard.next_is_repeat();
     const repeat_kind urgency =
-        shard.calls.empty() ? repeat_kind::retry : repeat_kind::hedge;
+        shard.idle() ? repeat_kind::retry : repeat_kind::hedge;
     const bool allowed =
         choice &&
         (!repeat || this->shared.repeats.try_spend(service, time, urgency));
@@ -144,15 +151,26 @@
         return;
     }
     const leaf_id chosen = candidates[choice->index].target->id;
-    const decision kind = !repeat               ? decision::call_first
-                          : shard.calls.empty() ? decision::call_retry
-                                                : decision::call_hedge;
+    const decision kind = !repeat        ? decision::call_first
+                          : shard.idle() ? decision::call_retry
+                                         : decision::call_hedge;
     this->repeats += repeat ? 1 : 0;
+    const failure_domain& domain = candidates[choice->index].target->domain;
+    const bool remote =
+        domain != this->shared.targets.domain() && !shard.direct_only;
+    if (remote)
+    {
+        ++shard.delegations;
+        this->delegations.choose({number, chosen, domain});
+    }
     const target_health& health = *candidates[choice->index].health;
     this->journal.add(
         call_made(kind, time, number, chosen, choice->expected, health));
     shard.hedge_at = time + this->plan.hedge_after;
-    this->start_call(number, chosen);
+    if (!remote)
+    {
+        this->start_call(number, chosen);
+    }
 }
 
 // Takes back the calls of a shard that still wait for a connection, so that
@@ -190,7 +208,8 @@
     {
         if (const auto session = weak.lock())
         {
-            session->events.push({number, raw.lock(), std::move(result)});
+            session->events.push(
+                shard_event{number, raw.lock(), std::move(result)});
         }
     };
     shard.asked.push_back(to);
@@ -213,6 +232,7 @@
     else
     {
         shard.arrived = true;
+        shard.arrived_before = true;
         if (event.call && !shard.sent_at)
         {
             shard.sent_at = event.call->sent;
@@ -233,6 +253,7 @@
     {
         this->progress.take_part(shard, std::move(event.result.reply));
         this->give_up_calls(shard);
+        this->withdraw(event.shard);
     }
     else
     {
@@ -257,7 +278,7 @@
     {
         if (this->progress.suspect())
         {
-            shard.held = shard.calls.empty();
+            shard.held = shard.idle();
             return;
         }
         this->ask(number);
@@ -290,6 +311,7 @@
         gather_shard& shard = this->progress.shard(i);
         if (this->progress.may_hedge(shard) && time >= shard.hedge_at)
         {
+            this->note_overdue(i, time);
             this->ask(i);
             shard.hedge_at = this->plan.deadline;
         }
@@ -321,6 +343,9 @@
 {
     for (const auto& call : shard.calls)
     {
+        // The part may have come from another host, while calls waited here.
+        shard.sent_at =
+            shard.sent_at.value_or(call->on_wire ? call->sent : this->now());
         this->shared.targets.give_up(call, gather_bounds::withdrawal_grace);
     }
     shard.calls.clear();
@@ -355,6 +380,10 @@
     {
         this->give_up_calls(this->progress.shard(i));
     }
+    for (const auto& [number, one] : this->delegations.all())
+    {
+        this->shared.delegates.cancel(number);
+    }
     this->note_crashes();
     result.end = end;
     result.failed = this->progress.missing();
@@ -372,6 +401,7 @@
             bodies.push_back(one.part->body);
         }
     }
+    std::ranges::copy(this->delegations.records(), std::back_inserter(bodies));
     result.answer.missing = this->progress.missing();
     result.answer.records =
         merge_records(bodies, this->rule.gather.most_records);
@@ -385,3 +415,5 @@
 }
 
 } // namespace basilpath
+
+#include "node/request/gather_session_remote.ipp"
--- a/src/node/request/gather_shard.hpp
+++ b/src/node/request/gather_shard.hpp
@@ -30,6 +30,17 @@
     instant hedge_at{};
 
     std::optional<target_reply> part;
+
+    /// Subqueries of which nothing final has been told for this shard.
+    std::size_t delegations = 0;
+
+    /// A host that was asked did not ask a replica; no other host is asked.
+    bool direct_only = false;
+
+    /// The part may come merged with others, and then replaces one that came
+    /// alone.
+    bool may_merge = false;
+
     bool failed = false;
 
     /// Calls that left or still may.
@@ -39,13 +50,22 @@
     /// shards: the query may be what breaks calls.
     bool held = false;
 
-    /// A call has reached a replica.
+    /// A call has reached a replica, or may have through another host.
     bool arrived = false;
 
+    /// The same before the last subquery was sent.
+    bool arrived_before = false;
+
+    /// Nothing is out that could bring the part.
+    [[nodiscard]] bool idle() const
+    {
+        return this->calls.empty() && this->delegations == 0;
+    }
+
     /// A further call is a repeat unless no earlier one has left or still may.
     [[nodiscard]] bool next_is_repeat() const
     {
-        return this->arrived || !this->calls.empty();
+        return this->arrived || !this->idle();
     }
 
     /// How long the first call waited here before it left, or has waited;
--- a/src/node/request/record_merge.cpp
+++ b/src/node/request/record_merge.cpp
@@ -31,4 +31,23 @@
     return merged;
 }
 
+std::string_view least_of_full(std::string_view merged, std::size_t most)
+{
+    return most > 0 && merged.size() >= most * record_bytes
+               ? merged.substr((most - 1) * record_bytes, record_bytes)
+               : std::string_view{};
+}
+
+std::string greater_records(std::string merged, std::string_view bound)
+{
+    std::size_t kept = 0;
+    while (kept + record_bytes <= merged.size() &&
+           std::string_view(merged).substr(kept, record_bytes) > bound)
+    {
+        kept += record_bytes;
+    }
+    merged.resize(kept);
+    return merged;
+}
+
 } // namespace basilpath
--- a/src/node/request/record_merge.hpp
+++ b/src/node/request/record_merge.hpp
@@ -18,4 +18,13 @@
 [[nodiscard]] std::string
 merge_records(const std::vector<std::string_view>& bodies, std::size_t most);
 
+/// The least of `most` merged records; empty when there are fewer, so that any
+/// further one may be among the greatest.
+[[nodiscard]] std::string_view least_of_full(std::string_view merged,
+                                             std::size_t most);
+
+/// The merged records that are greater than `bound`.
+[[nodiscard]] std::string greater_records(std::string merged,
+                                          std::string_view bound);
+
 } // namespace basilpath
--- a/src/node/request/request_journal.cpp
+++ b/src/node/request/request_journal.cpp
@@ -21,10 +21,11 @@
 
 std::string_view to_text(decision what)
 {
-    static constexpr std::array<std::string_view, 12> names = {
+    static constexpr std::array<std::string_view, 16> names = {
         "call_first",  "call_hedge",    "call_retry",      "no_replica",
         "no_budget",   "call_answered", "call_failed",     "call_not_executed",
-        "call_broken", "call_unsent",   "call_taken_back", "gate_full"};
+        "call_broken", "call_unsent",   "call_taken_back", "gate_full",
+        "delegated",   "delegate_part", "delegate_lack",   "delegate_lost"};
     return names.at(static_cast<std::size_t>(what));
 }
 
@@ -78,6 +79,16 @@
     return record;
 }
 
+decision_record delegation_record(decision what, instant at, std::size_t shard,
+                                  const peer_address& host,
+                                  const leaf_id& replica)
+{
+    decision_record record = record_of(what, at, shard);
+    record.host = host;
+    record.replica = replica;
+    return record;
+}
+
 decision to_decision(const target_result& result)
 {
     switch (result.end)
--- a/src/node/request/request_journal.hpp
+++ b/src/node/request/request_journal.hpp
@@ -21,18 +21,22 @@
 /// What was decided, or what came of it.
 enum class decision : std::uint8_t
 {
-    call_first,   ///< a call to the replica that is expected to answer first
-    call_hedge,   ///< a second replica, because the first is slow
-    call_retry,   ///< another replica, because a call failed
-    no_replica,   ///< no replica is left to ask
-    no_budget,    ///< the budget of repeats is spent
-    answered,     ///< a replica answered with success
-    failed,       ///< a replica answered with a failure
-    not_executed, ///< a replica did not run the call
-    broken,       ///< the connection ended without a whole answer
-    unsent,       ///< the call could not be sent
-    taken_back,   ///< the call had not left when another replica was asked
-    gate_full     ///< as many requests are under way as may be
+    call_first,    ///< a call to the replica that is expected to answer first
+    call_hedge,    ///< a second replica, because the first is slow
+    call_retry,    ///< another replica, because a call failed
+    no_replica,    ///< no replica is left to ask
+    no_budget,     ///< the budget of repeats is spent
+    answered,      ///< a replica answered with success
+    failed,        ///< a replica answered with a failure
+    not_executed,  ///< a replica did not run the call
+    broken,        ///< the connection ended without a whole answer
+    unsent,        ///< the call could not be sent
+    taken_back,    ///< the call had not left when another replica was asked
+    gate_full,     ///< as many requests are under way as may be
+    delegated,     ///< a host of another failure domain asks a replica there
+    delegate_part, ///< that host sent the part
+    delegate_lack, ///< that host got none, or has none yet
+    delegate_lost  ///< that host will send no part any more
 };
 
 [[nodiscard]] std::string_view to_text(decision what);
@@ -66,6 +70,9 @@
     /// sent one.
     std::optional<milliseconds> load_age;
 
+    /// For a shard that another host asks: that host.
+    peer_address host;
+
     /// When no call was made: whose replica was wanted, and why those that are
     /// known could not be chosen.
     service_name service;
@@ -96,6 +103,12 @@
 [[nodiscard]] decision_record
 not_let_in(instant at, const service_name& service, const gate_usage& usage);
 
+/// The record of what a host does, or did, for a shard.
+[[nodiscard]] decision_record delegation_record(decision what, instant at,
+                                                std::size_t shard,
+                                                const peer_address& host,
+                                                const leaf_id& replica);
+
 /// What is said once of a request.
 struct request_summary
 {
--- a/src/node/request/request_services.hpp
+++ b/src/node/request/request_services.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/process/crash_detector.hpp"
+#include "node/process/delegate_pool.hpp"
 #include "node/process/node_metrics.hpp"
 #include "node/process/repeat_budget.hpp"
 #include "node/process/request_log.hpp"
@@ -21,6 +22,7 @@
     request_log& log;
     node_metrics& metrics;
     crash_detector& crashes;
+    delegate_pool& delegates;
 };
 
 } // namespace basilpath
--- /dev/null
+++ b/src/node/request/subquery_session.ipp
@@ -0,0 +1,256 @@
+#include "node/request/subquery_session.hpp"
+
+#include "node/process/crash_detector.hpp"
+#include "node/request/record_merge.hpp"
+#include "node/request/request_journal.hpp"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace basilpath
+{
+
+template <runtime Runtime, target_transport Transport>
+subquery_session<Runtime, Transport>::subquery_session(
+    services& shared, std::shared_ptr<const route_table> table,
+    const route& rule, subquery asked, reporter report)
+    : shared(shared), table(std::move(table)), rule(rule),
+      asked(std::move(asked)), report(std::move(report)), arrived(this->now()),
+      events(shared.run)
+{
+}
+
+template <runtime Runtime, target_transport Transport>
+boost::asio::awaitable<void> subquery_session<Runtime, Transport>::run()
+{
+    const auto self = this->shared_from_this();
+    const instant report_at = this->arrived + this->asked.report_after;
+    const instant deadline = this->arrived + this->asked.patience;
+    for (const subquery_shard& wanted : this->asked.shards)
+    {
+        this->ask(wanted);
+    }
+    while (!this->cancelled && !this->open.empty() && this->now() < deadline)
+    {
+        const bool at_once = this->reported || this->asked.separately;
+        const instant until =
+            at_once ? deadline : std::min(report_at, deadline);
+        auto event = co_await this->events.pop_until(
+            to_clock<typename Runtime::clock>(until));
+        while (event)
+        {
+            this->take(std::move(*event));
+            event = this->events.take();
+        }
+        if (this->cancelled)
+        {
+            break;
+        }
+        if (!at_once && this->now() >= report_at)
+        {
+            this->report_parts(true);
+        }
+        else if (at_once || this->open.empty())
+        {
+            this->report_parts(false);
+        }
+    }
+    this->give_up_calls();
+    this->note_crashes();
+}
+
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::withdraw(std::size_t shard)
+{
+    const auto found = std::ranges::find(this->open, shard, &open_shard::shard);
+    if (found != this->open.end())
+    {
+        this->shared.targets.give_up(found->call, milliseconds(0));
+        this->open.erase(found);
+        this->events.wake();
+    }
+}
+
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::cancel()
+{
+    this->cancelled = true;
+    this->give_up_calls();
+    this->events.wake();
+}
+
+// Asks the best replica of a shard. One in another failure domain is left to
+// the host that asks, which has its hedge sent there when this one is late.
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::ask(const subquery_shard& wanted)
+{
+    const service_name& service = this->rule.gather.shards.at(wanted.shard);
+    const std::vector<candidate> candidates =
+        this->shared.targets.candidates(service);
+    placement_query place;
+    place.now = this->arrived;
+    place.usual = this->shared.targets.latency(this->rule.name).usual;
+    place.domain = &this->shared.targets.domain();
+    place.asked = wanted.asked;
+    place.random = this->shared.run.random();
+    place.distance = this->asked.report_after;
+    const auto choice = choose_replica(candidates, place);
+    if (!choice)
+    {
+        this->report_failure(wanted.shard, shard_lack::not_sent, {});
+        return;
+    }
+    const auto call = std::make_shared<target_call>();
+    call->query = this->asked.query;
+    call->to = candidates[choice->index].target->id;
+    call->route = this->rule.name;
+    call->useful_until = this->arrived + this->asked.useful_for;
+    call->deadline = this->arrived + this->asked.patience;
+    call->done = [weak = this->weak_from_this(),
+                  raw = std::weak_ptr<target_call>(call)](target_result result)
+    {
+        if (const auto session = weak.lock())
+        {
+            session->events.push({raw.lock(), std::move(result)});
+        }
+    };
+    this->open.push_back({wanted.shard, call});
+    this->shared.targets.send(call);
+}
+
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::take(call_event event)
+{
+    const auto found =
+        std::ranges::find(this->open, event.call, &open_shard::call);
+    if (found == this->open.end())
+    {
+        return;
+    }
+    const std::size_t shard = found->shard;
+    const leaf_id replica = event.call->to;
+    this->open.erase(found);
+    target_reply& reply = event.result.reply;
+    switch (to_decision(event.result))
+    {
+    case decision::answered:
+        this->answered = true;
+        if (reply.signature.empty())
+        {
+            this->report_failure(shard, shard_lack::failed, replica);
+            return;
+        }
+        this->parts.push_back({shard, std::move(reply.signature)});
+        this->bodies.push_back(std::move(reply.body));
+        if (this->asked.separately)
+        {
+            this->report_parts(false);
+        }
+        return;
+    case decision::not_executed:
+        this->report_failure(shard, shard_lack::not_executed, replica);
+        return;
+    case decision::unsent:
+        this->report_failure(shard, shard_lack::not_sent, replica);
+        return;
+    case decision::broken:
+        this->broken.push_back(replica);
+        this->report_failure(shard, shard_lack::broken, replica);
+        return;
+    default:
+        this->report_failure(shard, shard_lack::failed, replica);
+        return;
+    }
+}
+
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::report_failure(
+    std::size_t shard, shard_lack why, const leaf_id& replica)
+{
+    this->report({this->asked.number, {}, {{shard, why, replica}}, {}});
+}
+
+// Tells the parts that have come since the last report, and at the first time
+// which shards are still waited for.
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::report_parts(bool with_waiting)
+{
+    this->reported = true;
+    if (this->parts.empty() && !with_waiting)
+    {
+        return;
+    }
+    subquery_report told;
+    told.number = this->asked.number;
+    told.records = this->select_records();
+    told.parts = std::exchange(this->parts, {});
+    if (with_waiting)
+    {
+        for (const open_shard& one : this->open)
+        {
+            told.lacks.push_back(
+                {one.shard, shard_lack::waiting, one.call->to});
+        }
+    }
+    this->report(std::move(told));
+}
+
+// The records of the new parts that may be among the greatest of the answer.
+// The host that asks has as many as it wants that are no less than the floor,
+// and keeps what it has been told, unless that was told separately.
+template <runtime Runtime, target_transport Transport>
+std::string subquery_session<Runtime, Transport>::select_records()
+{
+    const std::size_t most = this->rule.gather.most_records;
+    std::vector<std::string_view> views(this->bodies.begin(),
+                                        this->bodies.end());
+    const std::string_view bound =
+        std::max(std::string_view(this->asked.floor),
+                 least_of_full(this->told_records, most));
+    std::string fresh = greater_records(merge_records(views, most), bound);
+    if (!this->asked.separately)
+    {
+        this->told_records = merge_records({this->told_records, fresh}, most);
+    }
+    this->bodies.clear();
+    return fresh;
+}
+
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::give_up_calls()
+{
+    for (const open_shard& one : this->open)
+    {
+        this->shared.targets.give_up(one.call, milliseconds(0));
+    }
+    this->open.clear();
+}
+
+// Tells which calls broke, unless a replica has answered the query.
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::note_crashes()
+{
+    if (this->broken.empty())
+    {
+        return;
+    }
+    const fingerprint print = fingerprint_of(*this->asked.query);
+    if (this->answered)
+    {
+        this->shared.crashes.note_served(print);
+        return;
+    }
+    for (const leaf_id& one : this->broken)
+    {
+        this->shared.crashes.note_broken(print, one, this->now());
+    }
+}
+
+template <runtime Runtime, target_transport Transport>
+instant subquery_session<Runtime, Transport>::now() const
+{
+    return to_instant(Runtime::clock::now());
+}
+
+} // namespace basilpath
--- a/src/node/version/route_table.cpp
+++ b/src/node/version/route_table.cpp
@@ -77,6 +77,12 @@
     return names;
 }
 
+const route* route_table::named(std::string_view name) const
+{
+    const auto found = std::ranges::find(this->routes, name, &route::name);
+    return found == this->routes.end() ? nullptr : &*found;
+}
+
 const service_rule* route_table::service(const service_name& name) const
 {
     const auto found = this->services.find(name);
--- a/src/node/version/route_table.hpp
+++ b/src/node/version/route_table.hpp
@@ -47,6 +47,9 @@
     [[nodiscard]] const route* find(std::string_view host,
                                     std::string_view path) const;
 
+    /// The route of this name, or null.
+    [[nodiscard]] const route* named(std::string_view name) const;
+
     /// What is said of a service, or null.
     [[nodiscard]] const service_rule* service(const service_name& name) const;
 
--- a/test/node_overload_test.cpp
+++ b/test/node_overload_test.cpp
@@ -93,8 +93,11 @@
     node_metrics metrics;
     crash_detector crashes{[](const crash_strike&) {
     }};
+    delegate_pool delegates{peer_address("a:1"),
+                            [](const peer_address&, const link_message&) {
+                            }};
     request_services<virtual_runtime, queued_targets> shared{
-        run, targets, budget, log, metrics, crashes};
+        run, targets, budget, log, metrics, crashes, delegates};
     query_service<virtual_runtime, queued_targets> queries{shared};
     std::vector<outcome> outcomes;
 
--- a/test/node_session_fixture.hpp
+++ b/test/node_session_fixture.hpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -85,6 +86,11 @@
 
     virtual_runtime run;
     scripted_targets targets{run};
+
+    /// Takes what is sent to other hosts.
+    std::function<void(const peer_address&, const link_message&)> send_link =
+        [](const peer_address&, const link_message&) {
+        };
     repeat_budget budget{{0.2, 10.0, 10'000ms}};
     request_log log;
     node_metrics metrics;
@@ -92,7 +98,13 @@
                            {
                                this->strikes.push_back(one);
                            }};
-    services shared{run, targets, budget, log, metrics, crashes};
+    delegate_pool delegates{
+        peer_address("a:1"),
+        [this](const peer_address& to, const link_message& message)
+        {
+            this->send_link(to, message);
+        }};
+    services shared{run, targets, budget, log, metrics, crashes, delegates};
     query_service<virtual_runtime, scripted_targets> queries{shared};
     std::shared_ptr<caller_presence> caller;
     std::vector<caller_reply> replies;
--- a/test/node_share_test.cpp
+++ b/test/node_share_test.cpp
@@ -70,7 +70,7 @@
     const instant start{1h};
     for (int i = 0; i < 200; ++i)
     {
-        latencies.note("g", start + i * 10ms, i % 50 == 0 ? 900ms : 12ms);
+        latencies.note("g", start + i * 10ms, i % 50 == 0 ? 900ms : 12ms, 100);
     }
     CHECK(latencies.of("g").usual < 20ms);
     CHECK(latencies.of("g").slow < 100ms);
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -19,7 +19,8 @@
 struct pool_fixture
 {
     explicit pool_fixture(raw_server::behaviour behave)
-        : server(context, std::move(behave)), pool(context, failure_domain("a"))
+        : server(context, std::move(behave)),
+          pool(context, failure_domain("a"), traffic)
     {
         this->pool.start();
         this->pool.set_serving(1, true);
@@ -77,6 +78,7 @@
 
     boost::asio::io_context context;
     raw_server server;
+    traffic_meter traffic;
     target_pool<platform::leaf_codec> pool;
     std::vector<target_result> results;
 };
--- a/test/scripted_targets.hpp
+++ b/test/scripted_targets.hpp
@@ -85,7 +85,11 @@
     using script =
         std::function<target_script(const target_call& call, std::size_t sent)>;
 
-    explicit scripted_targets(virtual_runtime& run) : run(run) {}
+    explicit scripted_targets(virtual_runtime& run,
+                              const std::string& domain = "a")
+        : run(run), own_domain(domain)
+    {
+    }
 
     /// Adds a replica of a service.
     void add(const std::string& id, const std::string& service,
@@ -184,7 +188,7 @@
     }
 
     virtual_runtime& run;
-    failure_domain own_domain{"a"};
+    failure_domain own_domain;
     std::vector<std::unique_ptr<held>> replicas;
 };
 
