Let large failure domains watch and tell themselves

Change: where five others of the own domain live, four rounds of probes of five stay there, two of seven that are told of a change stand elsewhere, and a newer view is fetched from another domain only when no host of the own one has offered it within 100 ms. Small domains are as before.

--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -16,7 +16,6 @@
 #include <charconv>
 #include <chrono>
 #include <iterator>
-#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -57,6 +56,10 @@
 // Time that another host has for sending its view.
 constexpr milliseconds fetch_patience{1'000};
 
+// Time in which a host of the same failure domain is likely to offer what one
+// of another domain has: a round of probes at the start, and some.
+constexpr auto near_patience = 100ms;
+
 constexpr std::string_view view_path = "/view?after=";
 
 instant now()
@@ -192,6 +195,25 @@
     this->view.apply(*update, std::nullopt);
 }
 
+// Fetches from a host of another failure domain, unless one of this domain has
+// brought the same in the meantime.
+asio::awaitable<void> peer_exchange::fetch_later(peer_address from,
+                                                 store_revision offered)
+{
+    if (std::exchange(this->fetch_planned, true))
+    {
+        co_return;
+    }
+    asio::steady_timer timer(this->context);
+    timer.expires_after(near_patience);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    this->fetch_planned = false;
+    if (this->view.view().revision() < offered && !this->fetching)
+    {
+        co_await this->fetch(std::move(from));
+    }
+}
+
 asio::awaitable<http_response>
 peer_exchange::answer_view(std::shared_ptr<http_request> request)
 {
@@ -248,8 +270,12 @@
     }
     else if (datagram.revision > held && !this->fetching)
     {
-        asio::co_spawn(this->context, this->fetch(datagram.from.address),
-                       asio::detached);
+        const bool far = this->members.avoidable(datagram.from.address);
+        asio::co_spawn(
+            this->context,
+            far ? this->fetch_later(datagram.from.address, datagram.revision)
+                : this->fetch(datagram.from.address),
+            asio::detached);
     }
 }
 
@@ -318,11 +344,8 @@
 
 void peer_exchange::tell_some(store_revision known)
 {
-    std::vector<peer_address> chosen = this->members.peers();
-    std::mt19937_64 random(this->run.random());
-    std::ranges::shuffle(chosen, random);
-    chosen.resize(std::min(chosen.size(), push_fanout));
-    for (const peer_address& to : chosen)
+    for (const peer_address& to :
+         this->members.listeners(push_fanout, this->run.random()))
     {
         this->send(to, datagram_kind::news, known);
     }
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -51,6 +51,8 @@
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> probe();
     boost::asio::awaitable<void> fetch(peer_address from);
+    boost::asio::awaitable<void> fetch_later(peer_address from,
+                                             store_revision offered);
     boost::asio::awaitable<http_response>
     answer_view(std::shared_ptr<http_request> request);
     void count_far(const peer_address& other, traffic_purpose purpose,
@@ -75,6 +77,7 @@
     std::uint64_t sent_count = 0;
     std::uint64_t rounds = 0;
     bool fetching = false;
+    bool fetch_planned = false;
 
     /// Strikes that are told for a while.
     std::vector<crash_strike> strikes;
--- a/src/node/process/roster.cpp
+++ b/src/node/process/roster.cpp
@@ -6,6 +6,7 @@
 #include <bit>
 #include <chrono>
 #include <iterator>
+#include <random>
 #include <utility>
 
 namespace basilpath
@@ -28,6 +29,18 @@
 // of a cut find each other again.
 constexpr microseconds dead_probe_interval = 500ms;
 
+// A failure domain with this many other live members watches itself: each is
+// probed as often as when all hosts probe all.
+constexpr std::size_t self_watching = 5;
+
+// Of the rounds of probes, one in this many then goes to another domain, so
+// that the loss of a whole domain is noticed within seconds.
+constexpr std::uint64_t far_rounds = 5;
+
+// Of the members that are told of a change, this many then stand in another
+// domain; each of them tells its own.
+constexpr std::size_t far_listeners = 2;
+
 // A dead member is forgotten after this time.
 constexpr microseconds forget_after = 120s;
 
@@ -112,15 +125,23 @@
                              now - one.died_at > forget_after;
                   });
     // The next live member in the order of addresses, and one that is dead.
-    const auto next_of = [this, &chosen](bool dead) -> record*
+    const bool far_round = ++this->rounds % far_rounds == 0;
+    const bool selective = this->near_count() >= self_watching;
+    peer_address& last = far_round ? this->last_far_probed : this->last_probed;
+    const auto fits = [&](const record& one)
+    {
+        const bool far = one.described.domain != this->self.domain;
+        return !selective || far == far_round;
+    };
+    const auto next_of = [&](bool dead) -> record*
     {
-        auto at = this->records.upper_bound(this->last_probed);
+        auto at = this->records.upper_bound(last);
         for (std::size_t i = 0; i < this->records.size(); ++i, ++at)
         {
             at = at == this->records.end() ? this->records.begin() : at;
             const bool is_dead =
                 at->second.described.state == member_state::dead;
-            if (is_dead == dead &&
+            if (is_dead == dead && (dead || fits(at->second)) &&
                 std::ranges::find(chosen, at->first) == chosen.end())
             {
                 return &at->second;
@@ -137,8 +158,8 @@
     if (record* const live = next_of(false))
     {
         live->probed_at = now;
-        this->last_probed = live->described.address;
-        chosen.push_back(this->last_probed);
+        last = live->described.address;
+        chosen.push_back(last);
     }
     return chosen;
 }
@@ -198,6 +219,45 @@
     return found == this->records.end() ? nullptr : &found->second.described;
 }
 
+bool roster::avoidable(const peer_address& address) const
+{
+    const member* const one = this->find(address);
+    return one && one->domain != this->self.domain &&
+           this->near_count() >= self_watching;
+}
+
+std::vector<peer_address> roster::listeners(std::size_t most,
+                                            std::uint64_t random) const
+{
+    std::vector<peer_address> near = this->peers();
+    std::mt19937_64 generator(random);
+    std::ranges::shuffle(near, generator);
+    const auto far =
+        std::ranges::stable_partition(near, [this](const peer_address& one)
+                                      { return !this->avoidable(one); });
+    std::vector<peer_address> chosen(
+        far.begin(), far.begin() + static_cast<std::ptrdiff_t>(
+                                       std::min(far.size(), far_listeners)));
+    const auto first_far = static_cast<std::size_t>(far.begin() - near.begin());
+    const std::size_t rest = std::min(first_far, most - chosen.size());
+    chosen.insert(chosen.end(), near.begin(),
+                  near.begin() + static_cast<std::ptrdiff_t>(rest));
+    return chosen;
+}
+
+// Live members of this host's failure domain, without this host.
+std::size_t roster::near_count() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->records,
+                              [this](const auto& entry)
+                              {
+                                  const member& one = entry.second.described;
+                                  return one.state != member_state::dead &&
+                                         one.domain == this->self.domain;
+                              }));
+}
+
 std::vector<peer_address> roster::peers() const
 {
     std::vector<peer_address> result;
--- a/src/node/process/roster.hpp
+++ b/src/node/process/roster.hpp
@@ -30,7 +30,9 @@
 
     /// The members to probe now: the next in turn, those that did not answer
     /// the last probe, and now and then one that is held for dead. Members
-    /// that have been silent for too long are held for dead first.
+    /// that have been silent for too long are held for dead first. A failure
+    /// domain with enough members mostly watches itself, as bytes between
+    /// domains cost.
     [[nodiscard]] std::vector<peer_address> probe(instant now);
 
     /// News to tell, those told least often first; each is told a number of
@@ -52,6 +54,14 @@
     /// What is known of another host, or null.
     [[nodiscard]] const member* find(const peer_address& address) const;
 
+    /// Tells whether a member stands in another failure domain while this
+    /// host's own has enough members to watch and to tell each other.
+    [[nodiscard]] bool avoidable(const peer_address& address) const;
+
+    /// Some members to tell of a change, most of them avoiding other domains.
+    [[nodiscard]] std::vector<peer_address>
+    listeners(std::size_t most, std::uint64_t random) const;
+
     /// Live members other than this host.
     [[nodiscard]] std::vector<peer_address> peers() const;
 
@@ -77,6 +87,7 @@
         unsigned told = 0;
     };
 
+    [[nodiscard]] std::size_t near_count() const;
     void declare_dead(record& one, instant now);
     void refute(const member& told);
     [[nodiscard]] unsigned tell_limit() const;
@@ -84,6 +95,8 @@
     member self;
     std::map<peer_address, record> records;
     peer_address last_probed;
+    peer_address last_far_probed;
+    std::uint64_t rounds = 0;
     instant dead_probe_at{};
     std::vector<member> changes;
 };
--- a/test/node_roster_test.cpp
+++ b/test/node_roster_test.cpp
@@ -4,7 +4,9 @@
 #include "node/version/route_table.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <limits>
 #include <map>
@@ -292,4 +294,74 @@
     CHECK(table.find("other", "/a/x") == nullptr);
 }
 
+// A host in domain "a" with as many others there and in "b" as given.
+roster with_neighbours(std::size_t near, std::size_t far)
+{
+    roster self(describe("self"), at(0us));
+    for (std::size_t i = 0; i < near; ++i)
+    {
+        self.merge(describe(fmt::format("near-{}", i)), at(0us));
+    }
+    for (std::size_t i = 0; i < far; ++i)
+    {
+        member one = describe(fmt::format("far-{}", i));
+        one.domain = failure_domain("b");
+        self.merge(one, at(0us));
+    }
+    return self;
+}
+
+TEST_CASE("a large domain watches itself and looks at others now and then")
+{
+    roster self = with_neighbours(10, 20);
+    std::size_t near = 0;
+    std::size_t far = 0;
+    run_rounds(self, 0ms, 10s,
+               [&](const peer_address& one)
+               {
+                   (one.value.starts_with("near") ? near : far) += 1;
+                   return true;
+               });
+    CHECK(near == 40);
+    CHECK(far == 10);
+}
+
+TEST_CASE("members of a small domain probe all others alike")
+{
+    roster self = with_neighbours(1, 4);
+    std::size_t far = 0;
+    run_rounds(self, 0ms, 10s,
+               [&](const peer_address& one)
+               {
+                   far += one.value.starts_with("far") ? 1 : 0;
+                   return true;
+               });
+    CHECK(far == 40);
+}
+
+TEST_CASE("the loss of another domain is noticed by a domain that watches "
+          "itself")
+{
+    roster self = with_neighbours(10, 4);
+    run_rounds(self, 0ms, 8s,
+               [](const peer_address& one)
+               { return one.value.starts_with("near"); });
+    CHECK(self.peers().size() == 10);
+}
+
+TEST_CASE("a change is told to a large domain and to some of the others")
+{
+    const roster self = with_neighbours(10, 20);
+    for (std::uint64_t random = 0; random < 20; ++random)
+    {
+        const auto told = self.listeners(7, random);
+        CHECK(told.size() == 7);
+        CHECK(std::ranges::count_if(told, [](const peer_address& one)
+                                    { return one.value.starts_with("far"); }) ==
+              2);
+    }
+    CHECK(with_neighbours(1, 20).listeners(7, 1).size() == 7);
+    CHECK(with_neighbours(1, 1).listeners(7, 1).size() == 2);
+}
+
 } // namespace
