Spend no repeat on a second replica that cannot be in time

Change: before the cutoff a shard that is being asked for is asked a second time only when the other replica is expected to be in time (hedge_pays); past it any answer is of use.

--- a/src/node/process/gather_policy.cpp
+++ b/src/node/process/gather_policy.cpp
@@ -35,6 +35,11 @@
     return plan;
 }
 
+bool hedge_pays(const gather_plan& plan, instant now, microseconds expected)
+{
+    return now >= plan.cutoff || now + expected <= plan.cutoff;
+}
+
 std::size_t parts_needed(const gather_rule& rule)
 {
     const double share =
--- a/src/node/process/gather_policy.hpp
+++ b/src/node/process/gather_policy.hpp
@@ -51,6 +51,13 @@
 [[nodiscard]] gather_plan plan_gather(const route& rule,
                                       const gather_times& times);
 
+/// Tells whether a second call for a shard is worth a repeat: before the cutoff
+/// it must be expected to be in time. Answers the load in which the second
+/// replica of a shard is slow or pauses, so that repeats are left for shards
+/// whose second replica is not.
+[[nodiscard]] bool hedge_pays(const gather_plan& plan, instant now,
+                              microseconds expected);
+
 /// The least number of parts that makes an answer.
 [[nodiscard]] std::size_t parts_needed(const gather_rule& rule);
 
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -132,6 +132,14 @@
         candidates,
         {time, this->usual, &this->shared.targets.domain(), shard.asked,
          this->shared.run.random(), this->company ? &*this->company : nullptr});
+    if (choice && !shard.idle() &&
+        !hedge_pays(this->plan, time, choice->expected))
+    {
+        // What is out already may still be in time; past the cutoff any answer
+        // is of use.
+        shard.hedge_at = this->plan.cutoff;
+        return;
+    }
     if (choice)
     {
         this->take_back_unsent(number);
@@ -312,8 +320,8 @@
         if (this->progress.may_hedge(shard) && time >= shard.hedge_at)
         {
             this->note_overdue(i, time);
-            this->ask(i);
             shard.hedge_at = this->plan.deadline;
+            this->ask(i);
         }
     }
 }
--- a/test/node_gather_test.cpp
+++ b/test/node_gather_test.cpp
@@ -312,4 +312,56 @@
     CHECK(calls > 200);
 }
 
+TEST_CASE("a second replica that cannot be in time is not asked, and repeats "
+          "are left")
+{
+    // The first replica of a shard pauses for a moment; the other is slow for
+    // long, as its calls have shown.
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, call.to.value == "s2-a" ? 60ms : 5ms);
+    };
+    for (int i = 0; i < 60; ++i)
+    {
+        const instant now = scripted_targets::now();
+        node.targets.health("s2-b").on_sent(now);
+        node.targets.health("s2-b").on_answer(now, 200ms, 10ms,
+                                              replica_load{2, 0, 2, 2.5}, true);
+    }
+    const double before =
+        node.budget.left(service_name("s2"), scripted_targets::now());
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].missing_parts == 0);
+    CHECK(node.answered_at[0] < 100ms);
+    CHECK(calls_of(node.targets, "s2-b") == 0);
+    CHECK(node.budget.left(service_name("s2"), scripted_targets::now()) >=
+          before);
+}
+
+TEST_CASE("past the cutoff a second replica is asked however slow it is")
+{
+    node_session_fixture node(4, 1.0);
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value,
+                           call.to.value == "s2-a" ? 900ms : 5ms);
+    };
+    for (int i = 0; i < 60; ++i)
+    {
+        const instant now = scripted_targets::now();
+        node.targets.health("s2-b").on_sent(now);
+        node.targets.health("s2-b").on_answer(now, 200ms, 10ms,
+                                              replica_load{2, 0, 2, 2.5}, true);
+    }
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 200);
+    CHECK(calls_of(node.targets, "s2-b") == 1);
+    CHECK(node.answered_at[0] < 200ms);
+}
+
 } // namespace
