Explain what another host lacked; bound what a replica may send

- The log tells why another host has no part of a shard, and basilpathctl explain makes a cause of it.
The field is `delegate`, as `host` is on every line.
- An answer of a replica was taken up to 8 MB; forty that send without end at once are more than the memory of a host. 2 MB now, and 16 kB of head, with a test that failed with the old bound.
- Findings of lint in the code of links.

--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -19,8 +19,11 @@
 /// One read; an answer of the usual size comes in one.
 inline constexpr std::size_t read_bytes = 8192;
 
-/// Largest answer that is taken from a replica.
-inline constexpr std::uint64_t body_limit = 8'000'000;
+/// Largest body and head that are taken from a replica: a body is some 10 kB in
+/// the deployments. Fifty replicas that send without end at the same time stay
+/// within half of the 260 MB of a host.
+inline constexpr std::uint64_t body_limit = 2'000'000;
+inline constexpr std::uint32_t head_limit = 16'384;
 
 /// How long an idle connection is kept when the replica does not say.
 inline constexpr milliseconds default_idle{4'000};
@@ -214,6 +217,7 @@
 {
     this->response.emplace();
     this->response->body_limit(target_connection_bounds::body_limit);
+    this->response->header_limit(target_connection_bounds::head_limit);
     this->response->eager(true);
 }
 
--- a/src/node/process/delegate_pool.cpp
+++ b/src/node/process/delegate_pool.cpp
@@ -129,7 +129,7 @@
     {
         host->second.silent_since = now;
         log_event(log_level::info, "delegate_silent",
-                  {{"host", host->first.value}});
+                  {{"delegate", host->first.value}});
     }
 }
 
@@ -146,7 +146,8 @@
     {
         found->second.greeted = true;
         found->second.silent_since.reset();
-        log_event(log_level::info, "delegate_linked", {{"host", host.value}});
+        log_event(log_level::info, "delegate_linked",
+                  {{"delegate", host.value}});
     }
 }
 
@@ -156,7 +157,7 @@
     if (found != this->hosts.end() &&
         std::exchange(found->second.greeted, false))
     {
-        log_event(log_level::info, "delegate_lost", {{"host", host.value}});
+        log_event(log_level::info, "delegate_lost", {{"delegate", host.value}});
     }
     std::vector<std::pair<subquery_number, listener>> ended;
     for (auto one = this->open.begin(); one != this->open.end();)
@@ -188,7 +189,7 @@
         {
             known->second.silent_since.reset();
             log_event(log_level::info, "delegate_speaks",
-                      {{"host", host.value}});
+                      {{"delegate", host.value}});
         }
     }
     const auto found = this->open.find(report.number);
@@ -196,7 +197,8 @@
     {
         // The listener may end the subquery.
         const listener told = found->second.told;
-        told(report.number, std::move(report));
+        const subquery_number number = report.number;
+        told(number, std::move(report));
     }
 }
 
--- a/src/node/process/request_log.cpp
+++ b/src/node/process/request_log.cpp
@@ -55,14 +55,24 @@
                    {"asked", one.unavailable.asked}});
         return;
     }
+    if (one.what == decision::delegate_lack)
+    {
+        log_event(log_level::info, to_text(one.what),
+                  {{"request", id.value},
+                   {"at_us", offset},
+                   {"shard", one.shard},
+                   {"delegate", one.host.value},
+                   {"replica", one.replica.value},
+                   {"why", to_text(one.lack)}});
+        return;
+    }
     if (one.what >= decision::delegated)
     {
         log_event(log_level::info, to_text(one.what),
                   {{"request", id.value},
                    {"at_us", offset},
                    {"shard", one.shard},
-                   {"host", one.host.value},
-                   {"replica", one.replica.value}});
+                   {"delegate", one.host.value}});
         return;
     }
     if (one.what == decision::gate_full)
--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -102,7 +102,7 @@
         shard.hedge_at =
             time + this->plan.hedge_after + trip + gather_bounds::report_margin;
         this->journal.add(delegation_record(decision::delegated, time,
-                                            one.shard, host->address, {}));
+                                            one.shard, host->address));
     }
     const subquery_number number = this->shared.delegates.send(
         host->address, std::move(asked),
@@ -175,9 +175,8 @@
     for (reported_part& part : report.parts)
     {
         gather_shard& shard = this->progress.shard(part.shard);
-        this->journal.add(delegation_record(decision::delegate_part,
-                                            this->now(), part.shard,
-                                            from.to.address, {}));
+        this->journal.add(delegation_record(
+            decision::delegate_part, this->now(), part.shard, from.to.address));
         if (this->delegations.settle(report.number, part.shard))
         {
             this->shared.delegates.forget(report.number);
@@ -212,9 +211,7 @@
     subquery_number number)
 {
     gather_shard& shard = this->progress.shard(lack.shard);
-    this->journal.add(delegation_record(decision::delegate_lack, this->now(),
-                                        lack.shard, from.to.address,
-                                        lack.replica));
+    this->journal.add(lack_record(this->now(), from.to.address, lack));
     if (!lack.replica.value.empty())
     {
         shard.asked.push_back(lack.replica);
@@ -259,9 +256,8 @@
         --shard.delegations;
         if (!shard.part)
         {
-            this->journal.add(delegation_record(decision::delegate_lost,
-                                                this->now(), one,
-                                                lost->to.address, {}));
+            this->journal.add(delegation_record(
+                decision::delegate_lost, this->now(), one, lost->to.address));
             this->retry_or_fail(one);
         }
     }
--- a/src/node/request/request_journal.cpp
+++ b/src/node/request/request_journal.cpp
@@ -80,12 +80,20 @@
 }
 
 decision_record delegation_record(decision what, instant at, std::size_t shard,
-                                  const peer_address& host,
-                                  const leaf_id& replica)
+                                  const peer_address& host)
 {
     decision_record record = record_of(what, at, shard);
     record.host = host;
-    record.replica = replica;
+    return record;
+}
+
+decision_record lack_record(instant at, const peer_address& host,
+                            const reported_lack& lack)
+{
+    decision_record record = record_of(decision::delegate_lack, at, lack.shard);
+    record.host = host;
+    record.replica = lack.replica;
+    record.lack = lack.why;
     return record;
 }
 
--- a/src/node/request/request_journal.hpp
+++ b/src/node/request/request_journal.hpp
@@ -4,6 +4,7 @@
 
 #include "node/process/overload_gate.hpp"
 #include "node/process/placement.hpp"
+#include "node/request/subquery.hpp"
 #include "node/request/target_call.hpp"
 #include "process/instant.hpp"
 #include "version/ids.hpp"
@@ -63,6 +64,9 @@
     /// a full gate: requests under way.
     unsigned number = 0;
 
+    /// Why another host has no part.
+    shard_lack lack = shard_lack::waiting;
+
     /// For a full gate: requests that may be under way.
     std::size_t limit = 0;
 
@@ -103,11 +107,14 @@
 [[nodiscard]] decision_record
 not_let_in(instant at, const service_name& service, const gate_usage& usage);
 
+/// The record of a shard of which another host has no part.
+[[nodiscard]] decision_record lack_record(instant at, const peer_address& host,
+                                          const reported_lack& lack);
+
 /// The record of what a host does, or did, for a shard.
 [[nodiscard]] decision_record delegation_record(decision what, instant at,
                                                 std::size_t shard,
-                                                const peer_address& host,
-                                                const leaf_id& replica);
+                                                const peer_address& host);
 
 /// What is said once of a request.
 struct request_summary
--- a/src/node/request/subquery.hpp
+++ b/src/node/request/subquery.hpp
@@ -4,10 +4,12 @@
 #include "node/request/caller_query.hpp"
 #include "version/ids.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -91,6 +93,13 @@
     not_sent      ///< no replica was asked
 };
 
+[[nodiscard]] constexpr std::string_view to_text(shard_lack why)
+{
+    constexpr std::array<std::string_view, 5> names = {
+        "waiting", "failed", "broken", "not_executed", "not_sent"};
+    return names.at(static_cast<std::size_t>(why));
+}
+
 /// A shard without a part, with the replica that was asked.
 struct reported_lack
 {
--- a/src/process/request_story.cpp
+++ b/src/process/request_story.cpp
@@ -39,7 +39,9 @@
         {"call_not_executed", "the replica refused"},
         {"call_broken", "the connection ended without an answer"},
         {"call_unsent", "the call could not be sent"},
-        {"call_taken_back", "the call never left this host"}};
+        {"call_taken_back", "the call never left this host"},
+        {"delegated", "no report in time from the host that was asked"},
+        {"delegate_lost", "the host that was asked was lost"}};
     if (course.last_event == "no_replica")
     {
         return "no replica could be asked (" + course.detail + ")";
@@ -48,6 +50,10 @@
     {
         return "the budget of repeats was spent";
     }
+    if (course.last_event == "delegate_lack")
+    {
+        return "the host that was asked had no part (" + course.detail + ")";
+    }
     const auto found = reasons.find(course.last_event);
     return found == reasons.end() ? course.last_event : found->second;
 }
@@ -69,11 +75,13 @@
             continue; // About the whole request.
         }
         shard_course& course = courses[one.line.number("shard")];
-        course.answered = course.answered || event == "call_answered";
+        course.answered = course.answered || event == "call_answered" ||
+                          event == "delegate_part";
         // A budget that is spent leaves an earlier call in progress.
         const bool waits = course.last_event.starts_with("call_first") ||
                            course.last_event.starts_with("call_hedge") ||
-                           course.last_event.starts_with("call_retry");
+                           course.last_event.starts_with("call_retry") ||
+                           course.last_event.starts_with("delegate");
         if ((event == "no_budget" || event == "no_replica") && waits)
         {
             continue;
@@ -83,6 +91,10 @@
         {
             course.replica = one.line.value("replica");
         }
+        if (event == "delegate_lack")
+        {
+            course.detail = one.line.value("why");
+        }
         if (event == "no_replica")
         {
             course.detail = fmt::format(
--- a/test/node_link_test.cpp
+++ b/test/node_link_test.cpp
@@ -235,7 +235,7 @@
     node.run_until([&node] { return node.senders.size() == 1; });
     subquery_report report;
     report.number = subquery_number(1);
-    report.records = std::string(16 * 10'000, 'r');
+    report.records = std::string(160'000, 'r');
     std::size_t sent = 0;
     while (node.closed == 0 && sent < 1'000)
     {
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -192,6 +192,25 @@
     CHECK(node.results[0].end == call_end::broken);
 }
 
+TEST_CASE("bytes without end, in a head or a body, end the call as broken")
+{
+    const std::string begin = GENERATE(
+        as<std::string>{},
+        "HTTP/1.1 200 OK\r\nX-Response-Signature: sig\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n",
+        "HTTP/1.1 200 OK\r\nX-Endless: ");
+    pool_fixture node(
+        [&begin](const std::string&, std::size_t)
+        { return raw_action{begin + std::string(3'000'000, 'x')}; });
+    // Nothing but the bound ends the call.
+    node.start("one", false, 1h);
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+    node.run([&node] { return node.server.ended >= 1; });
+    CHECK(node.server.ended >= 1);
+}
+
 TEST_CASE("a call that is given up has its connection closed")
 {
     pool_fixture node([](const std::string&, std::size_t)
--- a/test/request_story_test.cpp
+++ b/test/request_story_test.cpp
@@ -194,4 +194,20 @@
           ctl_exit::finding);
 }
 
+TEST_CASE("the cause names what a host that was asked lacked")
+{
+    request_story story("r1");
+    feed(story, "n1",
+         "host=n1 event=delegated request=r1 at_us=1 shard=0 delegate=n2:1\n"
+         "host=n1 event=delegated request=r1 at_us=1 shard=1 delegate=n2:1\n"
+         "host=n1 event=delegate_lack request=r1 at_us=9 shard=0 "
+         "delegate=n2:1 replica=i-7 why=waiting\n"
+         "host=n1 event=delegate_part request=r1 at_us=9 shard=1 "
+         "delegate=n2:1\n"
+         "host=n1 event=request request=r1 outcome=answered_partly "
+         "status=200 parts=1 shards=2\n");
+    CHECK(only_cause(story) ==
+          "1 shard: the host that was asked had no part (waiting) (i-7)");
+}
+
 } // namespace
