--- a/test/node_subquery_test.cpp
+++ b/test/node_subquery_test.cpp
@@ -301,6 +301,50 @@
           0);
 }
 
+TEST_CASE("a part of a merged report replaces the same part that came before")
+{
+    // Later reports leave out records for the sake of those told before, so
+    // what was told must stay in the answer.
+    linked_hosts hosts;
+    hosts.to_helper = [](const link_message&)
+    {
+        return std::nullopt;
+    };
+    hosts.near.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, call.to.value == "s4-c" ? 5ms : 70ms);
+    };
+    const auto tell = [&hosts](std::vector<reported_part> parts,
+                               std::vector<reported_lack> lacks,
+                               const std::string& records)
+    {
+        subquery_report report;
+        report.number = subquery_number(1);
+        report.parts = std::move(parts);
+        report.lacks = std::move(lacks);
+        report.records = records;
+        hosts.delegates.on_report(hosts.helper.address, report, 1ms);
+    };
+    hosts.start("/all/x");
+    hosts.run.run_until(5ms);
+    tell({{0, "m0"}, {1, "m1"}, {2, "m2"}, {3, "m3"}},
+         {{4, shard_lack::waiting, leaf_id("s4-b")},
+          {5, shard_lack::waiting, leaf_id("s5-b")}},
+         std::string(16, '3'));
+    // The part of s4-c comes, then that of the other host.
+    hosts.run.run_until(35ms);
+    REQUIRE(hosts.near.record.text.find("call s4-c") != std::string::npos);
+    tell({{4, "m4"}}, {}, std::string(16, '4'));
+    tell({{5, "m5"}}, {}, std::string(16, '5'));
+    hosts.run.run_until(1s);
+    REQUIRE(hosts.replies.size() == 1);
+    const caller_reply& reply = hosts.replies[0];
+    CHECK(reply.part_signatures ==
+          std::vector<std::string>{"m0", "m1", "m2", "m3", "m4", "m5"});
+    CHECK(reply.body ==
+          std::string(16, '5') + std::string(16, '4') + std::string(16, '3'));
+}
+
 TEST_CASE("fewer bytes cross between domains than when replicas are called")
 {
     linked_hosts hosts(30, 0.75);
