Leave a replica that sheds although it stands in the domain

Change: what a domain is preferred beyond the usual cost of distance is lost by the share of failed calls, wholly at a quarter (lost_preference). The test replays the load and fails without it.

--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -19,9 +19,25 @@
 // hosts with the same view do not all choose the same one.
 constexpr microseconds random_spread = 2ms;
 
+// Failures a call at which a replica keeps nothing of the preference for its
+// domain beyond the usual cost of distance: each takes a repeat.
+constexpr double failing_rate = 0.25;
+
 // A replica that may be gone is taken only when nothing else is left.
 constexpr microseconds lapsed_cost = 10s;
 
+// What a near replica loses of a preference beyond the usual cost of distance,
+// by the failures of its calls. Answers the load in which replicas of one
+// domain shed calls while those of another do not.
+microseconds lost_preference(const candidate& one, const placement_query& query)
+{
+    const double kept = static_cast<double>(
+        std::max(query.distance - distance_cost, 0us).count());
+    const double failing =
+        std::min(1.0, one.health->failure_rate(query.now) / failing_rate);
+    return microseconds(static_cast<std::int64_t>(kept * failing));
+}
+
 } // namespace
 
 bool may_be_asked(const candidate& one)
@@ -77,6 +93,10 @@
                 query.preferred && one.target->domain == *query.preferred;
             cost += query.distance - (company ? company_gain : 0us);
         }
+        else
+        {
+            cost += lost_preference(one, query);
+        }
         if (one.lapsed)
         {
             cost += lapsed_cost;
--- a/test/node_subquery_test.cpp
+++ b/test/node_subquery_test.cpp
@@ -301,6 +301,39 @@
           0);
 }
 
+TEST_CASE("a helper leaves a replica of its domain that sheds")
+{
+    // Two calls of five are shed there, and each takes a repeat. Hedges are
+    // late, so the helper has much reason to stay.
+    linked_hosts hosts(4, 1.0);
+    hosts.near.usual.slow = 40ms;
+    hosts.behave(
+        [](const target_call& call, std::size_t sent)
+        {
+            const bool sheds = call.to.value == "s1-b" && sent % 5 < 2;
+            return sheds ? shed() : good_answer(call.to.value, 5ms);
+        });
+    // The helper's replicas tell it of their failures, as in the program.
+    const auto note = [&hosts](bool good)
+    {
+        hosts.far.health("s1-b").on_sent(scripted_targets::now());
+        hosts.far.health("s1-b").on_answer(scripted_targets::now(), 5ms, 10ms,
+                                           {}, good);
+    };
+    for (int i = 0; i < 20; ++i)
+    {
+        note(i % 5 >= 2);
+    }
+    hosts.start("/all/x");
+    hosts.run.run_until(1s);
+    REQUIRE(hosts.replies.size() == 1);
+    CHECK(hosts.replies[0].missing_parts == 0);
+    CHECK(hosts.far.record.text.find("call s1-b") == std::string::npos);
+    CHECK(hosts.far.record.text.find("call s1-c") != std::string::npos);
+    // Those that do not fail are still asked in the domain.
+    CHECK(hosts.far.record.text.find("call s0-b") != std::string::npos);
+}
+
 TEST_CASE("a part of a merged report replaces the same part that came before")
 {
     // Later reports leave out records for the sake of those told before, so
