--- a/src/node/process/crash_detector.cpp
+++ b/src/node/process/crash_detector.cpp
@@ -59,6 +59,25 @@
     this->forget_before(now - same_crash_time);
 }
 
+void crash_detector::note_end(const caller_query& query, bool answered,
+                              std::span<const leaf_id> broken, instant now)
+{
+    if (broken.empty())
+    {
+        return;
+    }
+    const fingerprint print = fingerprint_of(query);
+    if (answered)
+    {
+        this->note_served(print);
+        return;
+    }
+    for (const leaf_id& one : broken)
+    {
+        this->note_broken(print, one, now);
+    }
+}
+
 void crash_detector::note_down(const leaf_id& replica, instant now)
 {
     this->forget_before(now - same_crash_time);
--- a/src/node/process/crash_detector.hpp
+++ b/src/node/process/crash_detector.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <span>
 
 namespace basilpath
 {
@@ -40,6 +41,11 @@
     /// A call broke; it may or may not have crashed its replica.
     void note_broken(fingerprint print, const leaf_id& replica, instant now);
 
+    /// A request has ended: it was answered by some replica, or these calls
+    /// broke and none was.
+    void note_end(const caller_query& query, bool answered,
+                  std::span<const leaf_id> broken, instant now);
+
     /// A replica refuses connections.
     void note_down(const leaf_id& replica, instant now);
 
--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -13,7 +13,7 @@
 
 // Part of that cost which a replica saves that stands where others of the
 // query are asked through one host: its bytes are merged with theirs.
-constexpr microseconds company_gain = 5ms;
+constexpr microseconds grouping_gain = 5ms;
 
 // Replicas whose expected times differ by less are taken in turn, so that
 // hosts with the same view do not all choose the same one.
@@ -89,9 +89,9 @@
         microseconds cost = expected;
         if (query.domain && one.target->domain != *query.domain)
         {
-            const bool company =
+            const bool grouped =
                 query.preferred && one.target->domain == *query.preferred;
-            cost += query.distance - (company ? company_gain : 0us);
+            cost += query.distance - (grouped ? grouping_gain : 0us);
         }
         else
         {
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -119,7 +119,6 @@
     [[nodiscard]] instant next_wake(instant now) const;
     [[nodiscard]] gather_end lost_reach() const;
     void give_up_calls(gather_shard& shard);
-    void note_crashes();
     gather_result conclude(gather_end end);
     [[nodiscard]] instant now() const;
 
@@ -135,7 +134,7 @@
 
     /// The failure domain that is preferred where none of the shard's replicas
     /// stands here.
-    std::optional<failure_domain> company;
+    std::optional<failure_domain> preferred_domain;
     std::size_t repeats = 0;
 
     /// The first calls have been made; what is asked now are repeats.
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -131,7 +131,8 @@
     const auto choice = choose_replica(
         candidates,
         {time, this->usual, &this->shared.targets.domain(), shard.asked,
-         this->shared.run.random(), this->company ? &*this->company : nullptr});
+         this->shared.run.random(),
+         this->preferred_domain ? &*this->preferred_domain : nullptr});
     if (choice && !shard.idle() &&
         !hedge_pays(this->plan, time, choice->expected))
     {
@@ -359,26 +360,6 @@
     shard.calls.clear();
 }
 
-// Tells which calls broke, unless a replica has answered the query.
-template <runtime Runtime, target_transport Transport>
-void gather_session<Runtime, Transport>::note_crashes()
-{
-    if (this->progress.broken().empty())
-    {
-        return;
-    }
-    const fingerprint print = fingerprint_of(*this->query);
-    if (this->progress.missing() < this->progress.all().size())
-    {
-        this->shared.crashes.note_served(print);
-        return;
-    }
-    for (const leaf_id& one : this->progress.broken())
-    {
-        this->shared.crashes.note_broken(print, one, this->now());
-    }
-}
-
 template <runtime Runtime, target_transport Transport>
 gather_result gather_session<Runtime, Transport>::conclude(gather_end end)
 {
@@ -392,7 +373,9 @@
     {
         this->shared.delegates.cancel(number);
     }
-    this->note_crashes();
+    this->shared.crashes.note_end(
+        *this->query, this->progress.missing() < this->progress.all().size(),
+        this->progress.broken(), this->now());
     result.end = end;
     result.failed = this->progress.missing();
     result.repeats = this->repeats;
--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -31,7 +31,8 @@
     const auto domains = this->shared.delegates.usable_domains();
     if (!domains.empty())
     {
-        this->company = domains[this->shared.run.random() % domains.size()];
+        this->preferred_domain =
+            domains[this->shared.run.random() % domains.size()];
     }
 }
 
--- a/src/node/request/subquery_session.hpp
+++ b/src/node/request/subquery_session.hpp
@@ -65,7 +65,6 @@
     void report_parts(bool with_waiting);
     [[nodiscard]] std::string select_records();
     void give_up_calls();
-    void note_crashes();
     [[nodiscard]] instant now() const;
 
     services& shared;
--- a/src/node/request/subquery_session.ipp
+++ b/src/node/request/subquery_session.ipp
@@ -57,7 +57,8 @@
         }
     }
     this->give_up_calls();
-    this->note_crashes();
+    this->shared.crashes.note_end(*this->asked.query, this->answered,
+                                  this->broken, this->now());
 }
 
 template <runtime Runtime, target_transport Transport>
@@ -227,26 +228,6 @@
     this->open.clear();
 }
 
-// Tells which calls broke, unless a replica has answered the query.
-template <runtime Runtime, target_transport Transport>
-void subquery_session<Runtime, Transport>::note_crashes()
-{
-    if (this->broken.empty())
-    {
-        return;
-    }
-    const fingerprint print = fingerprint_of(*this->asked.query);
-    if (this->answered)
-    {
-        this->shared.crashes.note_served(print);
-        return;
-    }
-    for (const leaf_id& one : this->broken)
-    {
-        this->shared.crashes.note_broken(print, one, this->now());
-    }
-}
-
 template <runtime Runtime, target_transport Transport>
 instant subquery_session<Runtime, Transport>::now() const
 {
--- a/test/linked_hosts.hpp
+++ b/test/linked_hosts.hpp
@@ -43,8 +43,8 @@
         this->subqueries.set_routes(this->table);
         this->near_budget.set_host_count(2);
         this->far_budget.set_host_count(2);
-        this->delegates.set_hosts(std::vector{this->helper});
-        this->delegates.on_greeted(this->helper.address);
+        this->delegates.set_hosts(std::vector{this->gatherer});
+        this->delegates.on_greeted(this->gatherer.address);
         this->open_link();
     }
 
@@ -74,7 +74,7 @@
     void cut_link()
     {
         this->link->close();
-        this->delegates.on_closed(this->helper.address);
+        this->delegates.on_closed(this->gatherer.address);
     }
 
     /// Calls that both hosts made for a shard.
@@ -104,13 +104,13 @@
     scripted_targets near{run, "a"};
     scripted_targets far{run, "b"};
     std::shared_ptr<const route_table> table;
-    delegate helper{peer_address("10.0.0.2:7001"), failure_domain("b")};
-    fate to_helper = [](const link_message&)
+    delegate gatherer{peer_address("10.0.0.2:7001"), failure_domain("b")};
+    fate to_delegate = [](const link_message&)
     {
         return std::optional(travel);
     };
-    fate from_helper = to_helper;
-    std::size_t sent_to_helper = 0;
+    fate from_delegate = to_delegate;
+    std::size_t sent_to_delegate = 0;
     std::size_t bytes = 0;
     repeat_budget near_budget{{0.2, 10.0, 10'000ms}};
     repeat_budget far_budget{{0.2, 10.0, 10'000ms}};
@@ -122,7 +122,7 @@
         peer_address("10.0.0.1:7001"),
         [this](const peer_address&, const link_message& message)
         {
-            this->send_to_helper(message);
+            this->send_to_delegate(message);
         }};
     delegate_pool no_delegates{peer_address("10.0.0.2:7001"),
                                [](const peer_address&, const link_message&) {
@@ -144,24 +144,24 @@
     {
         this->link = std::make_shared<far_link>(
             this->subqueries, [this](const link_message& message)
-            { this->send_from_helper(message); });
+            { this->send_from_delegate(message); });
     }
 
-    void send_to_helper(const link_message& message)
+    void send_to_delegate(const link_message& message)
     {
-        ++this->sent_to_helper;
-        this->pass(this->to_helper, message,
+        ++this->sent_to_delegate;
+        this->pass(this->to_delegate, message,
                    [this](const link_message& arrived)
                    { CHECK(this->link->take(arrived)); });
     }
 
-    void send_from_helper(const link_message& message)
+    void send_from_delegate(const link_message& message)
     {
-        this->pass(this->from_helper, message,
+        this->pass(this->from_delegate, message,
                    [this](const link_message& arrived)
                    {
                        this->delegates.on_report(
-                           this->helper.address,
+                           this->gatherer.address,
                            std::get<subquery_report>(arrived), travel * 2);
                    });
     }
--- a/test/node_subquery_test.cpp
+++ b/test/node_subquery_test.cpp
@@ -35,7 +35,7 @@
     CHECK(hosts.replies[0].status == 200);
     CHECK(hosts.replies[0].missing_parts == 0);
     CHECK(hosts.replies[0].part_signatures.size() == 6);
-    CHECK(hosts.sent_to_helper == 1);
+    CHECK(hosts.sent_to_delegate == 1);
     CHECK(linked_hosts::count(hosts.near.record.text, "  call ") == 0);
     // A call to a replica and back, and the way to the other host and back.
     CHECK(hosts.answered_at[0] < 8ms);
@@ -88,10 +88,10 @@
     CHECK(reply.body == merge_records(named, most_records));
 }
 
-TEST_CASE("a helper that is silent has its shards asked directly in time")
+TEST_CASE("a delegate that is silent has its shards asked directly in time")
 {
     linked_hosts hosts;
-    hosts.from_helper = [](const link_message&)
+    hosts.from_delegate = [](const link_message&)
     {
         return std::nullopt;
     };
@@ -106,22 +106,22 @@
     }
 
     // It is left alone until it has spoken again.
-    const std::size_t before = hosts.sent_to_helper;
+    const std::size_t before = hosts.sent_to_delegate;
     hosts.start("/all/y");
     hosts.run.run_until(2s);
-    CHECK(hosts.sent_to_helper == before);
+    CHECK(hosts.sent_to_delegate == before);
     REQUIRE(hosts.replies.size() == 2);
     CHECK(hosts.replies[1].missing_parts == 0);
-    hosts.delegates.on_greeted(hosts.helper.address);
+    hosts.delegates.on_greeted(hosts.gatherer.address);
     hosts.start("/all/z");
     hosts.run.run_until(3s);
-    CHECK(hosts.sent_to_helper > before);
+    CHECK(hosts.sent_to_delegate > before);
 }
 
-TEST_CASE("a helper that is frozen and wakes late asks no shard a third time")
+TEST_CASE("a delegate that is frozen and wakes late asks no shard a third time")
 {
     linked_hosts hosts;
-    hosts.to_helper = [](const link_message&)
+    hosts.to_delegate = [](const link_message&)
     {
         return std::optional<microseconds>(60ms);
     };
@@ -151,7 +151,7 @@
     CHECK(hosts.subqueries.busy_count() == 0);
 }
 
-TEST_CASE("a helper with other routes is not asked twice for a query")
+TEST_CASE("a delegate with other routes is not asked twice for a query")
 {
     linked_hosts hosts;
     hosts.subqueries.set_routes(std::make_shared<const route_table>(
@@ -162,14 +162,14 @@
     REQUIRE(hosts.replies.size() == 1);
     CHECK(hosts.replies[0].missing_parts == 0);
     CHECK(hosts.answered_at[0] < 10ms);
-    CHECK(hosts.sent_to_helper == 1);
+    CHECK(hosts.sent_to_delegate == 1);
     CHECK(linked_hosts::count(hosts.far.record.text, "  call ") == 0);
     // Nothing had been sent, so these were no repeats.
     CHECK(hosts.near_budget.left(service_name("s0"), scripted_targets::now()) >
           2.0);
 }
 
-TEST_CASE("a query that no helper may ask has not run")
+TEST_CASE("a query that no delegate may ask has not run")
 {
     linked_hosts hosts(4, 1.0);
     hosts.subqueries.set_routes(nullptr);
@@ -181,10 +181,10 @@
     CHECK(hosts.replies[0].status == 503);
 }
 
-TEST_CASE("a query that a helper may have run is not said not to have run")
+TEST_CASE("a query that a delegate may have run is not said not to have run")
 {
     linked_hosts hosts(4, 1.0);
-    hosts.from_helper = [](const link_message&)
+    hosts.from_delegate = [](const link_message&)
     {
         return std::nullopt;
     };
@@ -199,7 +199,7 @@
     CHECK(hosts.replies[0].status != 503);
 }
 
-TEST_CASE("a caller that leaves ends the calls of the helper")
+TEST_CASE("a caller that leaves ends the calls of the delegate")
 {
     linked_hosts hosts;
     hosts.behave([](const target_call& call, std::size_t)
@@ -213,7 +213,8 @@
     CHECK(hosts.subqueries.busy_count() == 0);
 }
 
-TEST_CASE("a replica that pauses at the helper is asked for elsewhere in time")
+TEST_CASE(
+    "a replica that pauses at the delegate is asked for elsewhere in time")
 {
     linked_hosts hosts;
     hosts.behave(
@@ -231,7 +232,7 @@
     CHECK(hosts.far.record.text.find("give up s2-b") != std::string::npos);
 }
 
-TEST_CASE("a replica that sheds at the helper is asked for elsewhere at once")
+TEST_CASE("a replica that sheds at the delegate is asked for elsewhere at once")
 {
     linked_hosts hosts;
     hosts.behave(
@@ -248,7 +249,7 @@
     CHECK(hosts.calls_of(2) == 2);
 }
 
-TEST_CASE("a failure that a replica signs is no part at the helper either")
+TEST_CASE("a failure that a replica signs is no part at the delegate either")
 {
     linked_hosts hosts(4, 0.75);
     hosts.behave(
@@ -293,7 +294,7 @@
     subquery_report report;
     report.number = subquery_number(1);
     report.parts = {{0, "sig-forged"}, {99, "sig-forged"}};
-    hosts.delegates.on_report(hosts.helper.address, report, 1ms);
+    hosts.delegates.on_report(hosts.gatherer.address, report, 1ms);
     hosts.run.run_until(1s);
     REQUIRE(hosts.replies.size() == 1);
     CHECK(hosts.replies[0].missing_parts == 0);
@@ -301,10 +302,10 @@
           0);
 }
 
-TEST_CASE("a helper leaves a replica of its domain that sheds")
+TEST_CASE("a delegate leaves a replica of its domain that sheds")
 {
     // Two calls of five are shed there, and each takes a repeat. Hedges are
-    // late, so the helper has much reason to stay.
+    // late, so the delegate has much reason to stay.
     linked_hosts hosts(4, 1.0);
     hosts.near.usual.slow = 40ms;
     hosts.behave(
@@ -313,7 +314,7 @@
             const bool sheds = call.to.value == "s1-b" && sent % 5 < 2;
             return sheds ? shed() : good_answer(call.to.value, 5ms);
         });
-    // The helper's replicas tell it of their failures, as in the program.
+    // The delegate's replicas tell it of their failures, as in the program.
     const auto note = [&hosts](bool good)
     {
         hosts.far.health("s1-b").on_sent(scripted_targets::now());
@@ -339,7 +340,7 @@
     // Later reports leave out records for the sake of those told before, so
     // what was told must stay in the answer.
     linked_hosts hosts;
-    hosts.to_helper = [](const link_message&)
+    hosts.to_delegate = [](const link_message&)
     {
         return std::nullopt;
     };
@@ -356,7 +357,7 @@
         report.parts = std::move(parts);
         report.lacks = std::move(lacks);
         report.records = records;
-        hosts.delegates.on_report(hosts.helper.address, report, 1ms);
+        hosts.delegates.on_report(hosts.gatherer.address, report, 1ms);
     };
     hosts.start("/all/x");
     hosts.run.run_until(5ms);
