Choose the hosts that gather apart from the node

node.ipp joined the parts and decided on them in one function; the choice is a function of the members now, with a test for hosts of an earlier release.

--- /dev/null
+++ b/src/node/process/gathering_hosts.cpp
@@ -0,0 +1,36 @@
+#include "node/process/gathering_hosts.hpp"
+
+namespace basilpath
+{
+
+gathering_hosts choose_gathering(std::span<const member> live,
+                                 const std::set<http_address>& serving,
+                                 const failure_domain& own)
+{
+    gathering_hosts result;
+    std::size_t near = 0;
+    bool all_linked = true;
+    for (const member& one : live)
+    {
+        const bool serves = one.ready && one.state == member_state::alive &&
+                            serving.contains(one.callers);
+        if (!serves)
+        {
+            continue;
+        }
+        const bool linked = !one.links.value.empty();
+        all_linked = all_linked && linked;
+        if (one.domain == own)
+        {
+            ++near;
+        }
+        else if (linked)
+        {
+            result.delegates.push_back({one.links, one.domain});
+        }
+    }
+    result.callers_of_near = all_linked ? near : serving.size();
+    return result;
+}
+
+} // namespace basilpath
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -5,6 +5,7 @@
 #include "node/process/delegate_links.hpp"
 #include "node/process/delegate_pool.hpp"
 #include "node/process/directory_question.hpp"
+#include "node/process/gathering_hosts.hpp"
 #include "node/process/link_server.hpp"
 #include "node/process/node_identity.hpp"
 #include "node/process/node_settings.hpp"
@@ -70,7 +71,6 @@
     void take_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> follow_members();
     void share_bounds();
-    void choose_delegates(const std::set<http_address>& serving);
     void accept_links();
     void log_traffic() const;
     [[nodiscard]] steering_state steering() const;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -410,31 +410,10 @@
     this->targets.set_serving(serving.size(),
                               serving.contains(this->settings.callers));
     this->repeats.set_host_count(hosts);
-    this->choose_delegates(serving);
-}
-
-// Takes the hosts of other failure domains that serve callers, as they have
-// connections to each replica.
-template <class Adapter>
-void node<Adapter>::choose_delegates(const std::set<http_address>& serving)
-{
-    std::vector<delegate> wanted;
-    std::size_t near = 0;
-    bool all_linked = true;
-    for (const member& one : this->members.live())
-    {
-        const bool serves = one.ready && one.state == member_state::alive &&
-                            serving.contains(one.callers);
-        near += serves && one.domain == this->settings.domain ? 1 : 0;
-        all_linked = all_linked && (!serves || !one.links.value.empty());
-        if (serves && one.domain != this->settings.domain &&
-            !one.links.value.empty())
-        {
-            wanted.push_back({one.links, one.domain});
-        }
-    }
-    this->delegates.set_hosts(wanted);
-    this->targets.set_near(all_linked ? near : serving.size());
+    const gathering_hosts gathering =
+        choose_gathering(this->members.live(), serving, this->settings.domain);
+    this->delegates.set_hosts(gathering.delegates);
+    this->targets.set_near(gathering.callers_of_near);
 }
 
 // Listens for hosts that ask this one to gather.
--- a/test/node_delegate_test.cpp
+++ b/test/node_delegate_test.cpp
@@ -1,6 +1,7 @@
 /// Which hosts gather for others, and when that pays.
 #include "node/process/delegate_pool.hpp"
 #include "node/process/delegation_policy.hpp"
+#include "node/process/gathering_hosts.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -122,4 +123,37 @@
     CHECK(delegation_pays({2, 1'000, 1'000, 20'000, 0}));
 }
 
+member serving_host(const std::string& name, const std::string& domain)
+{
+    member one;
+    one.address = peer_address(name);
+    one.domain = failure_domain(domain);
+    one.callers = http_address(name);
+    one.links = peer_address(name + "-links");
+    one.ready = true;
+    return one;
+}
+
+TEST_CASE("hosts of other domains gather, and those of the own one call the "
+          "replicas beside them")
+{
+    std::vector<member> live{serving_host("a1", "a"), serving_host("a2", "a"),
+                             serving_host("b1", "b"), serving_host("b2", "b"),
+                             serving_host("b3", "b")};
+    live[4].state = member_state::leaving;
+    const std::set<http_address> serving{http_address("a1"), http_address("a2"),
+                                         http_address("b1"),
+                                         http_address("b3")};
+    const auto chosen = choose_gathering(live, serving, failure_domain("a"));
+    REQUIRE(chosen.delegates.size() == 1);
+    CHECK(chosen.delegates[0].address.value == "b1-links");
+    CHECK(chosen.callers_of_near == 2);
+
+    // A host of an earlier release calls every replica itself.
+    live[2].links = {};
+    const auto mixed = choose_gathering(live, serving, failure_domain("a"));
+    CHECK(mixed.delegates.empty());
+    CHECK(mixed.callers_of_near == serving.size());
+}
+
 } // namespace
