--- a/test/linked_hosts.hpp
+++ b/test/linked_hosts.hpp
@@ -4,6 +4,7 @@
 #include "node/connection/link_codec.hpp"
 #include "node/process/subquery_service.ipp"
 #include "node_session_fixture.hpp"
+#include "sample_query.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -57,13 +58,8 @@
 
     void start(const std::string& target, milliseconds patience = 1500ms)
     {
-        auto query = std::make_shared<caller_query>();
-        query->method = "GET";
-        query->host = "h";
-        query->target = target;
-        query->id = request_id(fmt::format("r{}", this->started++));
-        query->patience = patience;
-        query->arrived = scripted_targets::now();
+        const auto query = sample_query(target, this->started++, patience,
+                                        scripted_targets::now());
         this->caller = std::make_shared<caller_presence>(0us, 0us);
         boost::asio::co_spawn(this->run.executor(),
                               this->answer(query, this->caller),
--- a/test/node_overload_test.cpp
+++ b/test/node_overload_test.cpp
@@ -1,6 +1,7 @@
 /// More is asked than the replicas can do.
 #include "node_session_fixture.hpp"
 #include "queued_targets.hpp"
+#include "sample_query.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -104,13 +105,8 @@
 private:
     void start()
     {
-        auto query = std::make_shared<caller_query>();
-        query->method = "GET";
-        query->host = "h";
-        query->target = "/all/x";
-        query->id = request_id(fmt::format("r{}", this->started++));
-        query->patience = 1500ms;
-        query->arrived = queued_targets::now();
+        const auto query = sample_query("/all/x", this->started++, 1500ms,
+                                        queued_targets::now());
         boost::asio::co_spawn(this->run.executor(), this->answer(query),
                               boost::asio::detached);
     }
--- a/test/node_session_fixture.hpp
+++ b/test/node_session_fixture.hpp
@@ -4,6 +4,7 @@
 #include "node/process/node_metrics.hpp"
 #include "node/process/query_service.ipp"
 #include "node/process/request_log.hpp"
+#include "sample_query.hpp"
 #include "scripted_targets.hpp"
 
 #include <catch2/catch.hpp>
@@ -71,13 +72,8 @@
     /// Starts a request whose caller waits this long.
     void start(const std::string& target, milliseconds patience = 1500ms)
     {
-        auto query = std::make_shared<caller_query>();
-        query->method = "GET";
-        query->host = "h";
-        query->target = target;
-        query->id = request_id(fmt::format("r{}", this->started++));
-        query->patience = patience;
-        query->arrived = scripted_targets::now();
+        const auto query = sample_query(target, this->started++, patience,
+                                        scripted_targets::now());
         this->caller = std::make_shared<caller_presence>(0us, 0us);
         boost::asio::co_spawn(this->run.executor(),
                               this->answer(query, this->caller),
