Drain virtual time by a timer check, not by a poll alone

Asio looks at its timer queues only once the kernel reports the timerfd as expired. On arm64 that report can come after a poll of the event loop, so the runtime advanced its clock past timers that were due and not yet run. A wait that ends at once now marks a check of all timer queues.

Not run on x86-64.

--- a/test/virtual_runtime.hpp
+++ b/test/virtual_runtime.hpp
@@ -5,6 +5,7 @@
 #include "process/runtime.hpp"
 
 #include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <set>
 
@@ -120,14 +121,29 @@
     boost::asio::io_context context;
 
 private:
-    // Runs all handlers that are ready at the current virtual time.
+    // Runs all handlers that are ready at the current virtual time. The event
+    // loop checks its timers only when the kernel reports that the real timer
+    // has expired, and a poll may come earlier than that report. A wait that
+    // ends at once marks a check; it covers the timers of all clocks.
     void drain()
     {
-        this->context.restart();
-        while (this->context.poll() > 0)
+        std::size_t handlers = 0;
+        do
         {
+            handlers = 0;
+            bool checked = false;
+            boost::asio::steady_timer mark{
+                this->context, boost::asio::steady_timer::duration::zero()};
+            mark.async_wait([&checked](const boost::system::error_code&)
+                            { checked = true; });
             this->context.restart();
-        }
+            while (!checked)
+            {
+                handlers += this->context.run_one();
+            }
+            this->context.restart();
+            handlers += this->context.poll();
+        } while (handlers > 1);
     }
 
     std::mt19937_64 generator;
