--- a/review/4/endless.py
+++ b/review/2/endless.py
@@ -1,4 +1,4 @@
-"""Leafs whose bytes do not end: case 4."""
+"""Leafs whose bytes do not end: case 2."""
 
 import asyncio
 import pathlib
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -19,6 +19,9 @@
 sys.path.insert(0, str(REPOSITORY / "soak"))
 from platform_standin import Store, read_head  # noqa: E402,F401
 
+# The end of a run by a time limit also ends the processes that it started.
+signal.signal(signal.SIGTERM, signal.default_int_handler)
+
 DRAIN_MS = 3000
 GRACE_S = 6
 METRICS_PORT = 9464
