--- a/review/1/early.py
+++ b/review/2/early.py
@@ -1,4 +1,4 @@
-"""Leafs that reject long requests before they are in: case 1."""
+"""Leafs that reject long requests before they are in: case 2."""
 
 import asyncio
 import pathlib
--- a/review/2/endless.py
+++ b/review/3/endless.py
@@ -1,4 +1,4 @@
-"""Leafs whose bytes do not end: case 2."""
+"""Leafs whose bytes do not end: case 3."""
 
 import asyncio
 import pathlib
--- a/review/4/drain.py
+++ b/review/5/drain.py
@@ -1,4 +1,4 @@
-"""A leaf leaves while calls wait for it at the nodes: case 4."""
+"""A leaf leaves while calls wait for it at the nodes: case 5."""
 
 import asyncio
 import pathlib
