--- a/review/1/entry.py
+++ b/review/1/entry.py
@@ -20,7 +20,7 @@
 CLIENTS = 6
 RESTART_DELAY_S = 1.0
 
-NESTED_LISTS = 100_000
+NESTED_LISTS = 250_000
 VALUE_BYTES = 1_048_576  # valueBytes of the settings
 
 # The rule: processes end by themselves three times on a tenth of the machines, two at least.
