--- a/review/5/pages.py
+++ b/review/2/pages.py
@@ -1,4 +1,4 @@
-"""A key that must be escaped ends a page of the store when its history is gone: case 5."""
+"""A key that must be escaped ends a page of the store when its history is gone: case 2."""
 
 import asyncio
 import base64
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,6 +3,6 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/basilpath-node ] || { echo "target/bin/basilpath-node is not built"; exit 2; }
-timeout -k 5 110 python3 review/2/early.py
+timeout -k 5 110 python3 review/2/pages.py
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/2/early.py
+++ b/review/3/early.py
@@ -1,4 +1,4 @@
-"""Leafs that reject long requests before they are in: case 2."""
+"""Leafs that reject long requests before they are in: case 3."""
 
 import asyncio
 import pathlib
--- a/review/3/endless.py
+++ b/review/4/endless.py
@@ -1,4 +1,4 @@
-"""Leafs whose bytes do not end: case 3."""
+"""Leafs whose bytes do not end: case 4."""
 
 import asyncio
 import pathlib
--- a/review/4/stop.py
+++ b/review/5/stop.py
@@ -1,4 +1,4 @@
-"""Nodes are stopped in turn while requests wait for a slot: case 4."""
+"""Nodes are stopped in turn while requests wait for a slot: case 5."""
 
 import asyncio
 import pathlib
