--- a/review/3/early.py
+++ b/review/3/early.py
@@ -15,6 +15,8 @@
 CLIENTS = 12
 SHARE = 0.5  # of the leafs
 EARLY = 0.05  # of their answers
+EPISODE_S = 5.0
+EPISODE_INTERVAL_S = 8.0
 READ_ON_S = 0.5
 ETHERNET_MSS = 1460
 
@@ -57,7 +59,7 @@
         if length != len(wanted):
             self.broken(f"{request} has a length of {length} instead of {len(wanted)}")
             return False
-        if trouble() and self.rejects_early and RNG.random() < EARLY:
+        if self.rejects_early and RNG.random() < EARLY:
             self.early += 1
             self.record.add(f"leaf {self.id} rejects {request} before its body is in")
             writer.write(self.answer(503, request, b"", "X-Not-Executed: 1\r\n"))
@@ -96,6 +98,22 @@
 SENT, BROKEN, RNG = set(), [], random.Random(1)
 
 
+async def garble(leafs, record, until):
+    """Short disruptions, each at the same leafs."""
+    chosen = leafs[:round(SHARE * len(leafs))]
+    start = time.monotonic()
+    while time.monotonic() < until and not BROKEN:
+        begun = (time.monotonic() - start) % EPISODE_INTERVAL_S < EPISODE_S
+        if begun != chosen[0].rejects_early:
+            record.add(f"garble {'begins' if begun else 'ends'} at "
+                       f"{', '.join(leaf.id for leaf in chosen)}")
+        for leaf in chosen:
+            leaf.rejects_early = begun
+        await asyncio.sleep(0.02)
+    for leaf in chosen:
+        leaf.rejects_early = False
+
+
 async def client(number, deployment, record, until, counts):
     rng = random.Random(number)
     one = Client(record, deployment.nodes[0].front)
@@ -118,9 +136,8 @@
 async def main():
     record = Record(pathlib.Path(__file__).parent)
     deployment = Deployment()
-    leafs = [EarlyLeaf(deployment, record, "branch-close", number, slots=2, work=0.09) for number in range(LEAFS)]
-    for leaf in leafs[:round(SHARE * len(leafs))]:
-        leaf.rejects_early = True
+    leafs = [EarlyLeaf(deployment, record, "branch-close", number, slots=2, work=0.09)
+             for number in range(LEAFS)]
     counts, ended = {}, None
     try:
         await deployment.store.start()
@@ -134,8 +151,10 @@
             record.close("the node did not get ready")
             return 2
         until = time.monotonic() + SECONDS
-        await asyncio.gather(*(client(number, deployment, record, until, counts)
-                               for number in range(CLIENTS)))
+        work = [client(number, deployment, record, until, counts) for number in range(CLIENTS)]
+        if trouble():
+            work.append(garble(leafs, record, until))
+        await asyncio.gather(*work)
         await asyncio.sleep(1)
         ended = deployment.nodes[0].process.returncode
         if ended is not None:
