--- /dev/null
+++ b/test/store_source_test.cpp
@@ -0,0 +1,170 @@
+#include "node/connection/http_server.hpp"
+#include "store_source.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <exception>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace
+{
+
+using namespace basilpath;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using nlohmann::json;
+
+// Decodes a value in a query string.
+std::string decode_parameter(std::string_view text)
+{
+    std::string decoded;
+    while (!text.empty())
+    {
+        char one = text.front() == '+' ? ' ' : text.front();
+        std::size_t used = 1;
+        if (one == '%' && text.size() >= 3)
+        {
+            unsigned value = 0;
+            std::from_chars(text.data() + 1, text.data() + 3, value, 16);
+            one = static_cast<char>(value);
+            used = 3;
+        }
+        decoded += one;
+        text.remove_prefix(used);
+    }
+    return decoded;
+}
+
+std::map<std::string, std::string> parameters_of(std::string_view target)
+{
+    std::map<std::string, std::string> found;
+    target.remove_prefix(std::min(target.find('?') + 1, target.size()));
+    target = target.substr(0, target.find('#'));
+    while (!target.empty())
+    {
+        const std::string_view one = target.substr(0, target.find('&'));
+        target.remove_prefix(std::min(one.size() + 1, target.size()));
+        const auto equals = std::min(one.find('='), one.size());
+        found[std::string(one.substr(0, equals))] =
+            decode_parameter(one.substr(std::min(equals + 1, one.size())));
+    }
+    return found;
+}
+
+std::string to_base64(const std::string& value)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(value.size()), '\0');
+    text.resize(base64::encode(text.data(), value.data(), value.size()));
+    return text;
+}
+
+/// A store that returns a fixed number of items a page.
+struct paged_store
+{
+    paged_store(std::vector<std::string> keys, std::size_t page)
+        : keys(std::move(keys)), page(page),
+          server(context, "127.0.0.1:0",
+                 [this](std::shared_ptr<http_request> request,
+                        const std::shared_ptr<caller_presence>&)
+                 { return this->answer(std::move(request)); })
+    {
+        std::ranges::sort(this->keys);
+        this->server.start();
+    }
+
+    asio::awaitable<http_response> answer(std::shared_ptr<http_request> request)
+    {
+        ++this->calls;
+        auto wanted = parameters_of(std::string_view(request->target().data(),
+                                                     request->target().size()));
+        std::vector<std::string> matching;
+        std::ranges::copy_if(this->keys, std::back_inserter(matching),
+                             [&wanted](const std::string& key) {
+                                 return key.starts_with(wanted["prefix"]) &&
+                                        key > wanted["after"];
+                             });
+        json items = json::array();
+        for (const std::string& key : matching)
+        {
+            if (items.size() < this->page)
+            {
+                items.push_back(
+                    {{"key", key}, {"revision", 5}, {"value", to_base64("v")}});
+            }
+        }
+        http_response response(boost::beast::http::status::ok, 11);
+        response.body() = json{
+            {"items", items},
+            {"hasMore", matching.size() > items.size()},
+            {"currentRev", 7}}.dump();
+        co_return response;
+    }
+
+    read_result read()
+    {
+        platform::store_source source(
+            this->context.get_executor(),
+            http_address("127.0.0.1:" +
+                         std::to_string(this->server.local_endpoint().port())));
+        std::optional<read_result> result;
+        asio::co_spawn(this->context, source.read_all(2s),
+                       [&result](const std::exception_ptr&, read_result read)
+                       { result = std::move(read); });
+        for (int i = 0; i < 5000 && !result; ++i)
+        {
+            this->context.run_for(2ms);
+        }
+        return result.value_or(read_result{});
+    }
+
+    asio::io_context context;
+    std::vector<std::string> keys;
+    std::size_t page;
+    std::size_t calls = 0;
+    node_http_server server;
+};
+
+std::vector<std::string> keys_of(const read_result& result)
+{
+    std::vector<std::string> keys;
+    std::ranges::transform(result.update.changes, std::back_inserter(keys),
+                           &item_change::key);
+    return keys;
+}
+
+// Guards against a key that was not escaped as a query parameter: the same page
+// was read again and again, and no later change was seen.
+TEST_CASE("a page of the store may end at a key of any characters")
+{
+    std::vector<std::string> keys = {"op/config", "servers/a", "servers/zz"};
+    for (const char* const odd :
+         {"b&s",       "b+s",           "b s",   "b%26",  "b%",
+          "b#s",       "b?s",           "b=s",   "b/s/t", "b//",
+          "b\"s",      "b\\s",          "b;s",   "b\ts",  "b\r\ns",
+          "b\xc3\xa9", "b\xe2\x82\xac", "b\x01", "&",     "%2F",
+          ""})
+    {
+        keys.push_back(std::string("servers/") + odd);
+    }
+    keys.push_back("servers/" + std::string(192, '&'));
+    paged_store store(keys, GENERATE(std::size_t(1), std::size_t(2)));
+    const read_result result = store.read();
+    CHECK(result.end == read_end::done);
+    CHECK(result.update.revision == 7);
+    CHECK(keys_of(result) == store.keys);
+    CHECK(store.calls <= keys.size() + 1);
+}
+
+} // namespace
