--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -101,7 +101,9 @@
             if (items.size() < this->page)
             {
                 items.push_back(
-                    {{"key", key}, {"revision", 5}, {"value", to_base64("v")}});
+                    {{"key", key},
+                     {"revision", this->spoiled == key ? json("odd") : json(5)},
+                     {"value", to_base64("v")}});
             }
         }
         http_response response(boost::beast::http::status::ok, 11);
@@ -133,6 +135,9 @@
     std::vector<std::string> keys;
     std::size_t page;
     std::size_t calls = 0;
+
+    /// Key of the item that has no usable revision.
+    std::string spoiled;
     node_http_server server;
 };
 
@@ -167,4 +172,18 @@
     CHECK(store.calls <= keys.size() + 1);
 }
 
+// Guards against a next page that begins at an older key because the last item
+// of the page could not be read.
+TEST_CASE(
+    "a page that ends with an unreadable item is followed by the next one")
+{
+    paged_store store({"op/config", "servers/a", "servers/b", "servers/c"}, 1);
+    store.spoiled = "servers/b";
+    const read_result result = store.read();
+    CHECK(result.end == read_end::done);
+    CHECK(keys_of(result) ==
+          std::vector<std::string>{"op/config", "servers/a", "servers/c"});
+    CHECK(store.calls == 4);
+}
+
 } // namespace
