Bound the bytes that complete no element of a message

Cause: the parser bounds head and body of a message, but consumes nothing while it waits for the end of a chunk header, a chunk extension or a trailer; the read buffer of target_connection grew until the deadline of the call. The same holds for requests of callers and for the answers of the store, of other hosts and of health checks.

Change: a connection ends when such bytes exceed the largest element that is buffered as a whole; a caller gets 431.

--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -30,11 +30,15 @@
 // A page of the store has at most about a megabyte.
 constexpr std::uint64_t max_response_bytes = 16'000'000;
 
+// Limit on buffered bytes that complete no element of a response, such as a
+// chunk header or a trailer: the parser does not bound those.
+constexpr std::size_t max_buffered_bytes = 65'536;
+
 } // namespace
 
 node_http_client::node_http_client(const asio::any_io_executor& executor,
                                    http_address address)
-    : address(std::move(address)), stream(executor)
+    : address(std::move(address)), stream(executor), buffer(max_buffered_bytes)
 {
 }
 
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <string>
@@ -127,6 +128,14 @@
     }
 }
 
+// Returns how many bytes may be buffered that complete no element of a request.
+std::size_t http_session::buffer_limit() const
+{
+    return std::max<std::size_t>(this->server->limits.header_bytes,
+                                 max_read_ahead_bytes) +
+           read_bytes;
+}
+
 asio::awaitable<bool> http_session::read_request(parser& request)
 {
     this->reading = this->buffer.size() > 0;
@@ -142,6 +151,12 @@
             {
                 break;
             }
+            // The parser bounds the head and the body, but not chunk headers
+            // and trailers.
+            if (this->buffer.size() >= this->buffer_limit())
+            {
+                failure = http::error::header_limit;
+            }
             if (failure && failure != http::error::need_more)
             {
                 co_await this->reject(failure);
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,6 +66,7 @@
     using parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    [[nodiscard]] std::size_t buffer_limit() const;
     boost::asio::awaitable<bool> read_request(parser& request);
     boost::asio::awaitable<void> await_answer();
     boost::asio::awaitable<bool> write(http_response response);
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -25,6 +25,11 @@
 inline constexpr std::uint64_t body_limit = 2'000'000;
 inline constexpr std::uint32_t head_limit = 16'384;
 
+/// Limit on buffered bytes that complete no element of a response, such as a
+/// chunk header or a trailer: the parser does not bound those. The head is the
+/// largest element that is buffered as a whole.
+inline constexpr std::size_t buffer_limit = head_limit + read_bytes;
+
 /// Used when the replica sends no Keep-Alive timeout.
 inline constexpr milliseconds default_keep_alive_timeout{4'000};
 
@@ -144,7 +149,7 @@
         }
         if (parse_error == boost::beast::http::error::need_more)
         {
-            return true;
+            return this->buffer.size() < target_connection_limits::buffer_limit;
         }
         if (parse_error)
         {
--- a/test/node_http_test.cpp
+++ b/test/node_http_test.cpp
@@ -110,6 +110,33 @@
     CHECK(node.handled_requests == 2);
 }
 
+// Guards against a caller whose bytes complete no element of its request: the
+// read buffer grew without bound.
+TEST_CASE(
+    "bytes without end that complete no element of a request are rejected")
+{
+    const std::string chunked =
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string begin =
+        GENERATE_COPY(as<std::string>{}, chunked,
+                      chunked + "5;name=", chunked + "4\r\nbody\r\n",
+                      chunked + "0\r\nX-Trailer: ");
+    server_fixture node;
+    node.send(begin);
+    const std::string filler(50'000, '0');
+    std::size_t sent = 0;
+    for (int i = 0; i < 5000 && !node.closed && sent < 20'000'000; ++i)
+    {
+        boost::system::error_code error;
+        sent += node.caller.write_some(asio::buffer(filler), error);
+        node.context.run_for(1ms);
+        node.read();
+    }
+    CHECK(node.closed);
+    CHECK(node.received.starts_with("HTTP/1.1 4"));
+    CHECK(node.handled_requests == 0);
+}
+
 TEST_CASE("a chunked body is read completely")
 {
     server_fixture node;
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -211,6 +211,32 @@
     CHECK(node.server.ended >= 1);
 }
 
+// Guards against bytes without end that the parser does not consume: the read
+// buffer took all memory of the host.
+TEST_CASE(
+    "bytes without end that complete no element of an answer end the call "
+    "as broken")
+{
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string begin = GENERATE_COPY(
+        as<std::string>{}, chunked, chunked + "5",
+        chunked + "5;name=", chunked + "5;name=\"", chunked + "4\r\nbody\r\n",
+        chunked + "0\r\n", chunked + "0\r\nX-Trailer: ", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 ", "");
+    const char filler = GENERATE('\0', '0', ' ', 'x');
+    pool_fixture node(
+        [&begin, filler](const std::string&, std::size_t)
+        { return raw_action{begin + std::string(3'000'000, filler)}; });
+    // Only the size limit ends the call.
+    node.start("one", false, 1h);
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+    node.run([&node] { return node.server.ended >= 1; });
+    CHECK(node.server.ended >= 1);
+}
+
 TEST_CASE("abandoning a call closes its connection")
 {
     pool_fixture node([](const std::string&, std::size_t)
