Answer the requests in progress before a stopped host ends

Cause: node::drain() waited for the requests in progress until 0.7 s before the forced end and then stopped the event loop. Nothing ended the sessions whose deadline is later.

--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -36,9 +36,13 @@
 /// margin.
 inline constexpr milliseconds min_drain_time{2'500};
 
-/// Time reserved before the forced end to close the remaining connections.
+/// Time reserved before the forced end. Requests in progress are answered when
+/// it begins.
 inline constexpr milliseconds shutdown_margin{700};
 
+/// Part of the reserved time in which the last answers are sent.
+inline constexpr milliseconds answer_flush_time{300};
+
 /// How often a leaving host checks whether it can end.
 inline constexpr milliseconds drain_interval{50};
 
@@ -267,7 +271,8 @@
 }
 
 // Keeps serving until callers stop using this host, then closes idle
-// connections and waits for the requests in progress.
+// connections and waits for the requests in progress. They are answered before
+// the forced end, whatever they wait for.
 template <class Adapter>
 boost::asio::awaitable<void> node<Adapter>::drain()
 {
@@ -278,8 +283,10 @@
     this->peers.push_state();
     this->callers.start_draining();
     const auto started = std::chrono::steady_clock::now();
-    const auto end = started + this->settings.shutdown_timeout -
-                     node_bounds::shutdown_margin;
+    const auto answers_due = started + this->settings.shutdown_timeout -
+                             node_bounds::shutdown_margin;
+    this->shared.shutdown.set(to_instant(answers_due));
+    const auto end = answers_due + node_bounds::answer_flush_time;
     boost::asio::steady_timer timer(this->context);
     while (std::chrono::steady_clock::now() < end)
     {
--- a/src/node/process/query_service.hpp
+++ b/src/node/process/query_service.hpp
@@ -56,6 +56,7 @@
 
     boost::asio::awaitable<caller_reply> gather(state_pointer state);
     boost::asio::awaitable<caller_reply> forward(state_pointer state);
+    [[nodiscard]] bool stopping() const;
     void record_unrouted(const caller_query& query, unsigned status,
                          const std::string& outcome);
     void record_end(request_state& state, const caller_reply& reply);
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -109,6 +109,10 @@
                                std::move(result.answer.signatures),
                                result.answer.missing};
     case gather_end::not_attempted:
+        if (this->stopping())
+        {
+            co_return this->refuse(*state, 503, "host_stopping");
+        }
         if (result.limited)
         {
             co_return this->refuse(*state, 503, "replicas_at_limit",
@@ -125,7 +129,9 @@
     case gather_end::timed_out:
         break;
     }
-    co_return this->refuse(*state, 504, "too_few_shards_in_time");
+    co_return this->refuse(*state, 504,
+                           this->stopping() ? "host_stopped_may_have_run"
+                                            : "too_few_shards_in_time");
 }
 
 template <runtime Runtime, target_transport Transport>
@@ -153,6 +159,10 @@
                                {},
                                {}};
     case forward_end::not_run:
+        if (this->stopping())
+        {
+            co_return this->refuse(*state, 503, "host_stopping");
+        }
         if (result.room_in)
         {
             co_return this->refuse(*state, 503, "replicas_at_limit",
@@ -164,7 +174,16 @@
     case forward_end::may_have_run:
         break;
     }
-    co_return this->refuse(*state, 504, "no_answer_may_have_run");
+    co_return this->refuse(*state, 504,
+                           this->stopping() ? "host_stopped_may_have_run"
+                                            : "no_answer_may_have_run");
+}
+
+// Returns whether the sessions end because the host stops.
+template <runtime Runtime, target_transport Transport>
+bool query_service<Runtime, Transport>::stopping() const
+{
+    return this->shared.shutdown.reached(to_instant(Runtime::clock::now()));
 }
 
 // Counts and logs a request that is answered without a session.
--- a/src/node/request/forward_session.hpp
+++ b/src/node/request/forward_session.hpp
@@ -69,6 +69,7 @@
     };
 
     bool call_replica();
+    [[nodiscard]] forward_end unanswered_end() const;
     [[nodiscard]] bool is_repeat() const;
     void cancel_unsent();
     [[nodiscard]] bool crashes() const;
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -32,14 +32,16 @@
     std::shared_ptr<caller_presence> presence)
 {
     const auto self = this->shared_from_this();
-    presence->on_disconnect(
-        [weak = this->weak_from_this()]
+    const auto wake = [weak = this->weak_from_this()]
+    {
+        if (const auto session = weak.lock())
         {
-            if (const auto session = weak.lock())
-            {
-                session->events.wake();
-            }
-        });
+            session->events.wake();
+        }
+    };
+    presence->on_disconnect(wake);
+    const boost::signals2::scoped_connection on_shutdown =
+        this->shared.shutdown.on_set(wake);
     this->shared.repeats.note_request(this->service, this->now());
     if (!this->call_replica())
     {
@@ -49,9 +51,10 @@
     {
         const bool may_hedge =
             this->rule.idempotent && this->sends < this->rule.attempts;
+        const instant deadline =
+            this->shared.shutdown.limit(this->plan.deadline);
         const instant until =
-            may_hedge ? std::min(this->hedge_at, this->plan.deadline)
-                      : this->plan.deadline;
+            may_hedge ? std::min(this->hedge_at, deadline) : deadline;
         auto event = co_await this->events.pop_until(
             to_clock<typename Runtime::clock>(until));
         while (event)
@@ -68,6 +71,10 @@
         {
             co_return this->conclude(forward_end::caller_left);
         }
+        if (this->shared.shutdown.reached(time))
+        {
+            co_return this->conclude(this->unanswered_end());
+        }
         if (time >= this->plan.deadline)
         {
             co_return this->conclude(forward_end::may_have_run);
@@ -86,6 +93,10 @@
 bool forward_session<Runtime, Transport>::call_replica()
 {
     const instant time = this->now();
+    if (this->shared.shutdown.reached(time))
+    {
+        return false;
+    }
     const std::vector<candidate> candidates =
         this->shared.targets.candidates(this->service);
     const microseconds usual =
@@ -150,6 +161,17 @@
     return true;
 }
 
+// Returns how a request ends whose pending calls are abandoned: it has not run
+// when they all still wait for a connection.
+template <runtime Runtime, target_transport Transport>
+forward_end forward_session<Runtime, Transport>::unanswered_end() const
+{
+    const bool any_sent = std::ranges::any_of(this->calls, [](const auto& call)
+                                              { return call->on_wire; });
+    return any_sent || this->may_have_run ? forward_end::may_have_run
+                                          : forward_end::not_run;
+}
+
 // Returns whether a further call counts as a repeat: an earlier one has been
 // sent or still may be.
 template <runtime Runtime, target_transport Transport>
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -35,14 +35,16 @@
     std::shared_ptr<caller_presence> presence)
 {
     const auto self = this->shared_from_this();
-    presence->on_disconnect(
-        [weak = this->weak_from_this()]
+    const auto wake = [weak = this->weak_from_this()]
+    {
+        if (const auto session = weak.lock())
         {
-            if (const auto session = weak.lock())
-            {
-                session->events.wake();
-            }
-        });
+            session->events.wake();
+        }
+    };
+    presence->on_disconnect(wake);
+    const boost::signals2::scoped_connection on_shutdown =
+        this->shared.shutdown.on_set(wake);
 
     // Step 1. Fail at once when too few shards have a usable replica.
     this->choose_preferred_domain();
@@ -83,8 +85,9 @@
         {
             co_return this->conclude(gather_end::caller_left);
         }
+        const bool stopping = this->shared.shutdown.reached(time);
         const bool final =
-            this->progress.settled() || time >= this->plan.cutoff;
+            this->progress.settled() || time >= this->plan.cutoff || stopping;
         if (this->progress.enough() && final)
         {
             co_return this->conclude(gather_end::answered);
@@ -93,6 +96,12 @@
         {
             co_return this->conclude(this->unreachable_end());
         }
+        if (stopping)
+        {
+            co_return this->conclude(this->progress.may_have_run()
+                                         ? gather_end::timed_out
+                                         : gather_end::not_attempted);
+        }
         if (time >= this->plan.unsent_deadline &&
             !this->progress.may_have_run())
         {
@@ -372,7 +381,7 @@
 template <runtime Runtime, target_transport Transport>
 instant gather_session<Runtime, Transport>::next_wake(instant time) const
 {
-    instant next = this->plan.deadline;
+    instant next = this->shared.shutdown.limit(this->plan.deadline);
     for (const instant one : {this->plan.cutoff, this->plan.unsent_deadline})
     {
         next = time < one ? std::min(one, next) : next;
--- a/src/process/request_timeline.cpp
+++ b/src/process/request_timeline.cpp
@@ -249,6 +249,9 @@
          {"overloaded", "more was asked than the replicas had room for"},
          {"replicas_at_limit",
           "the replicas were at the limits that they name"},
+         {"host_stopping", "the host was stopping"},
+         {"host_stopped_may_have_run",
+          "the host stopped before a replica had answered"},
          {"caller_left", "the caller left before the answer"}};
     const std::string& name = outcome.line.value("outcome");
     const auto known = without_calls.find(name);
