Close no connection on which a request has been read or has arrived

Cause: close_if_idle() and close_if_expired() closed the socket while a read that had completed waited for its handler. The acceptor was closed with connections in its queue, and an accept that completed then was dropped.

Change: the pending read is cancelled, which does not touch a completed one; a connection with bytes to read, or a new one whose first request is likely on its way, is left. The queue of the acceptor is emptied before it is closed. A stop ends when all connections have ended, since they do so asynchronously.

Before: the three new tests fail (3 of 96, 1 of 24 and 1 of 1 assertions). After: they pass.

--- a/src/node/connection/http_server.cpp
+++ b/src/node/connection/http_server.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <exception>
 #include <ranges>
 #include <stdexcept>
 #include <utility>
@@ -51,6 +52,8 @@
 
     asio::awaitable<void> accept();
     asio::awaitable<void> sweep();
+    void add_session(asio::ip::tcp::socket socket);
+    void close_expired(instant now);
     void stop_accepting();
     void stop();
 
@@ -112,6 +115,11 @@
     }
 }
 
+void node_http_server::close_expired(instant now)
+{
+    this->self->close_expired(now);
+}
+
 void node_http_server::stop_accepting()
 {
     this->self->stop_accepting();
@@ -135,17 +143,47 @@
     return this->self->acceptor.local_endpoint();
 }
 
+void node_http_server::listener::add_session(asio::ip::tcp::socket socket)
+{
+    const auto session =
+        std::make_shared<http_session>(std::move(socket), this->state);
+    this->sessions.push_back(session);
+    // The session keeps itself alive only once it runs.
+    asio::co_spawn(this->sweep_timer.get_executor(), session->run(),
+                   [session](const std::exception_ptr&) {});
+}
+
+void node_http_server::listener::close_expired(instant now)
+{
+    for (const auto& session : this->open_sessions())
+    {
+        session->close_if_expired(now);
+    }
+}
+
+// Closing the acceptor would reset the connections that the kernel has
+// established but that were not accepted yet.
 void node_http_server::listener::stop_accepting()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error && this->state->handler)
+    {
+        asio::ip::tcp::socket socket(this->acceptor.get_executor());
+        this->acceptor.accept(socket, error);
+        if (!error)
+        {
+            this->add_session(std::move(socket));
+        }
+    }
+    this->acceptor.close(error);
 }
 
 void node_http_server::listener::stop()
 {
+    this->state->handler = nullptr;
     this->stop_accepting();
     this->sweep_timer.cancel();
-    this->state->handler = nullptr;
     for (const auto& session : this->open_sessions())
     {
         session->close();
@@ -161,11 +199,11 @@
         asio::ip::tcp::socket socket(this->acceptor.get_executor());
         const auto [error] = co_await this->acceptor.async_accept(
             socket, asio::as_tuple(asio::use_awaitable));
-        if (!this->acceptor.is_open())
+        if (!this->state->handler)
         {
             co_return;
         }
-        if (error)
+        if (error && this->acceptor.is_open())
         {
             log_event(log_level::warning, "accept_failed",
                       {{"reason", error.message()}});
@@ -174,11 +212,10 @@
                 asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        const auto session =
-            std::make_shared<http_session>(std::move(socket), this->state);
-        this->sessions.push_back(session);
-        asio::co_spawn(this->acceptor.get_executor(), session->run(),
-                       asio::detached);
+        if (!error)
+        {
+            this->add_session(std::move(socket));
+        }
     }
 }
 
@@ -196,11 +233,7 @@
         }
         std::erase_if(this->sessions,
                       [](const auto& weak) { return weak.expired(); });
-        const instant now = to_instant(std::chrono::steady_clock::now());
-        for (const auto& session : this->open_sessions())
-        {
-            session->close_if_expired(now);
-        }
+        this->close_expired(to_instant(std::chrono::steady_clock::now()));
     }
 }
 
--- a/src/node/connection/http_server.hpp
+++ b/src/node/connection/http_server.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/connection/http_session.hpp"
+#include "process/instant.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,10 +39,14 @@
     /// Makes every later response close its connection.
     void start_draining();
 
-    /// Closes the connections on which no request is being read or answered.
+    /// Closes the connections on which no request is being read or answered, or
+    /// has arrived.
     void close_idle();
 
-    /// Stops accepting connections.
+    /// Closes the connections that have exceeded a timeout at `now`.
+    void close_expired(instant now);
+
+    /// Stops accepting connections; those that are established are served.
     void stop_accepting();
 
     /// Returns the number of connections on which a request is being answered.
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -34,6 +34,9 @@
 // session stops reading until the answer is sent.
 constexpr std::size_t max_read_ahead_bytes = 65'536;
 
+// Time within which the first request of a new connection arrives.
+constexpr milliseconds first_request_time{200};
+
 instant now()
 {
     return to_instant(std::chrono::steady_clock::now());
@@ -116,18 +119,38 @@
                                      : this->server->limits.idle_timeout;
     if (time - this->waiting_since > limit)
     {
-        this->close();
+        this->end_read();
     }
 }
 
 void http_session::close_if_idle()
 {
-    if (!this->answering && !this->reading)
+    const bool request_expected =
+        !this->used && now() - this->waiting_since < first_request_time;
+    if (!this->answering && !this->reading && !request_expected)
     {
-        this->close();
+        this->end_read();
     }
 }
 
+// Ends the pending read and so the session. A read that has completed is not
+// affected: its bytes may hold a whole request, which must be answered.
+void http_session::end_read()
+{
+    this->ending = true;
+    boost::system::error_code ignored;
+    this->socket.cancel(ignored);
+}
+
+// Returns whether the session ends without reading on: bytes that have arrived
+// on an idle connection may be a request.
+bool http_session::must_end() const
+{
+    boost::system::error_code ignored;
+    return this->ending &&
+           (this->reading || this->socket.available(ignored) == 0);
+}
+
 // Returns how many bytes may be buffered that complete no element of a request.
 std::size_t http_session::buffer_limit() const
 {
@@ -163,13 +186,22 @@
                 co_return false;
             }
         }
+        if (this->must_end())
+        {
+            co_return false;
+        }
         const auto chunk = this->buffer.prepare(read_bytes);
         const auto [error, count] = co_await this->socket.async_read_some(
             chunk, asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted && this->ending)
+        {
+            continue;
+        }
         if (error)
         {
             co_return false;
         }
+        this->ending = false;
         this->buffer.commit(count);
         if (!this->reading)
         {
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -47,10 +47,12 @@
     boost::asio::awaitable<void> run();
 
     /// Closes the connection when it has exceeded the idle timeout, or the
-    /// header timeout while a request is being read.
+    /// header timeout while a request is being read. An idle connection on
+    /// which a request has arrived serves it first.
     void close_if_expired(instant now);
 
-    /// Closes the connection unless a request is being read or answered.
+    /// Closes the connection unless a request is being read or answered, has
+    /// arrived, or is likely on its way on a new connection.
     void close_if_idle();
 
     /// Closes the connection at once.
@@ -68,6 +70,8 @@
 
     [[nodiscard]] std::size_t buffer_limit() const;
     boost::asio::awaitable<bool> read_request(parser& request);
+    void end_read();
+    [[nodiscard]] bool must_end() const;
     boost::asio::awaitable<void> await_answer();
     boost::asio::awaitable<bool> write(http_response response);
     boost::asio::awaitable<void> reject(const boost::system::error_code& why);
@@ -89,6 +93,9 @@
 
     /// Whether part of a request has been read.
     bool reading = false;
+
+    /// Whether the connection is to be closed instead of read again.
+    bool ending = false;
     instant waiting_since{};
 };
 
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -301,7 +301,7 @@
             this->callers.stop_accepting();
             this->callers.close_idle();
         }
-        if (past_drain_time && this->callers.busy_count() == 0 &&
+        if (past_drain_time && this->callers.connection_count() == 0 &&
             this->subqueries.busy_count() == 0)
         {
             break;
--- a/test/node_http_test.cpp
+++ b/test/node_http_test.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <chrono>
 #include <string>
+#include <thread>
 
 namespace
 {
@@ -242,6 +243,91 @@
     CHECK(node.closed);
 }
 
+// Guards against the stop that closed a connection between the read of a
+// request and its handling: the request was passed on, its caller got no
+// answer.
+TEST_CASE("close_idle at any moment does not cut a request that is handled")
+{
+    const int steps = GENERATE(range(0, 24));
+    const bool kept = GENERATE(false, true);
+    server_fixture node;
+    if (kept)
+    {
+        node.send("GET /before HTTP/1.1\r\nHost: h\r\n\r\n");
+        node.receive_text("/before");
+        node.receive([&node] { return node.server.busy_count() == 0; });
+    }
+    const int before = node.handled_requests;
+    const auto run_steps = [&node, steps]
+    {
+        for (int i = 0; i < steps; ++i)
+        {
+            node.context.poll_one();
+        }
+    };
+    node.send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_steps();
+    node.server.close_idle();
+    const std::string received = node.receive(
+        [&node] {
+            return node.closed ||
+                   node.received.find("/late") != std::string::npos;
+        });
+    const bool answered = received.find("/late") != std::string::npos;
+    CHECK(answered == (node.handled_requests > before));
+    // The request had arrived before.
+    CHECK(answered);
+}
+
+// Guards against the same window when an idle connection expires.
+TEST_CASE(
+    "the idle timeout at any moment does not cut a request that is handled")
+{
+    const int steps = GENERATE(range(0, 24));
+    server_fixture node;
+    caller_limits limits;
+    limits.idle_timeout = 1ms;
+    node.server.set_limits(limits);
+    node.send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+    for (int i = 0; i < steps; ++i)
+    {
+        node.context.poll_one();
+    }
+    std::this_thread::sleep_for(5ms);
+    node.server.close_expired(to_instant(std::chrono::steady_clock::now()));
+    const std::string received = node.receive(
+        [&node] {
+            return node.closed ||
+                   node.received.find("/late") != std::string::npos;
+        });
+    CHECK(received.find("/late") != std::string::npos);
+}
+
+TEST_CASE("a connection that was established before the server stops accepting "
+          "is served")
+{
+    server_fixture node;
+    node.context.poll();
+    asio::ip::tcp::socket late(node.context);
+    late.connect(node.server.local_endpoint());
+    asio::write(late, asio::buffer(std::string(
+                          "GET /queued HTTP/1.1\r\nHost: h\r\n\r\n")));
+    node.server.stop_accepting();
+    node.server.close_idle();
+    std::string received;
+    late.non_blocking(true);
+    for (int i = 0; i < 2000 && received.find("/queued") == std::string::npos;
+         ++i)
+    {
+        node.context.run_for(1ms);
+        std::array<char, 4096> chunk{};
+        boost::system::error_code error;
+        const auto count = late.read_some(asio::buffer(chunk), error);
+        received.append(chunk.data(), count);
+    }
+    CHECK(received.find("/queued") != std::string::npos);
+}
+
 TEST_CASE("logging does not block when the reader of the pipe does not read")
 {
     std::array<int, 2> ends{};
