Refuse requests that arrive late in a stop, as not run

Another operator saw requests that came late in a stop taken, passed on and cut at its end, among them requests that may not be repeated. Here too a request whose body took long was passed on up to 5.3 s after SIGTERM.

Cause: nothing refused a request for the reason that the host stops.

Change: from 2.5 s after SIGTERM on, when callers should have left, a request that has been read is refused at once with 503 and Retry-After.

Before: the new test fails (3 of 9 assertions: 200 and passed on). After: it passes.

--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -271,8 +271,8 @@
 }
 
 // Keeps serving until callers stop using this host, then closes idle
-// connections and waits for the requests in progress. They are answered before
-// the forced end, whatever they wait for.
+// connections, refuses requests and waits for those in progress. They are
+// answered before the forced end, whatever they wait for.
 template <class Adapter>
 boost::asio::awaitable<void> node<Adapter>::drain()
 {
@@ -285,7 +285,10 @@
     const auto started = std::chrono::steady_clock::now();
     const auto answers_due = started + this->settings.shutdown_timeout -
                              node_bounds::shutdown_margin;
-    this->shared.shutdown.set(to_instant(answers_due));
+    this->shared.shutdown.set(
+        to_instant(
+            std::min(started + node_bounds::min_drain_time, answers_due)),
+        to_instant(answers_due));
     const auto end = answers_due + node_bounds::answer_flush_time;
     boost::asio::steady_timer timer(this->context);
     while (std::chrono::steady_clock::now() < end)
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -37,6 +37,17 @@
         this->record_unrouted(*query, 404, "no_route");
         co_return caller_reply{404, {}, "no such route\n", {}, {}, {}};
     }
+    if (this->shared.shutdown.refuses(query->arrived))
+    {
+        this->record_unrouted(*query, 503, "host_stopping");
+        co_return caller_reply{
+            503,
+            {},
+            "this host stops\n",
+            this->draw_retry_after(retry_after_bounds::after_failure),
+            {},
+            {}};
+    }
     if (this->shared.crashes.quarantined(fingerprint_of(*query),
                                          query->arrived))
     {
--- a/src/node/process/shutdown_time.hpp
+++ b/src/node/process/shutdown_time.hpp
@@ -18,14 +18,21 @@
 class shutdown_time
 {
 public:
-    /// Ends the sessions in progress at `answers_due`. Wakes them to take note of
-    /// it.
-    void set(instant answers_due)
+    /// Refuses requests that arrive from `refuse_from` on, and ends the
+    /// sessions in progress at `answers_due`. Wakes them to take note of it.
+    void set(instant refuse_from, instant answers_due)
     {
+        this->refusing_since = refuse_from;
         this->end = answers_due;
         this->changed();
     }
 
+    /// Returns whether a request that arrives now must be refused.
+    [[nodiscard]] bool refuses(instant now) const
+    {
+        return this->refusing_since && now >= *this->refusing_since;
+    }
+
     /// Returns whether all sessions must have ended.
     [[nodiscard]] bool reached(instant now) const
     {
@@ -46,6 +53,7 @@
     }
 
 private:
+    std::optional<instant> refusing_since;
     std::optional<instant> end;
     boost::signals2::signal<void()> changed;
 };
--- a/test/node_stop_test.cpp
+++ b/test/node_stop_test.cpp
@@ -11,6 +11,7 @@
 
 // The stop is announced one second after the requests were sent.
 constexpr microseconds stop_at = 1s;
+constexpr instant refuse_from{3500ms};
 constexpr instant answers_due{6300ms};
 
 /// Requests of three kinds with time left beyond the stop.
@@ -36,7 +37,7 @@
     void stop()
     {
         this->run.run_until(stop_at);
-        this->shared.shutdown.set(answers_due);
+        this->shared.shutdown.set(refuse_from, answers_due);
     }
 };
 
@@ -130,4 +131,26 @@
     CHECK(host.replies[0].missing_parts == 1);
 }
 
+// Guards against requests that arrive late in a stop, are passed on and cut.
+TEST_CASE("a request that arrives late in a stop is refused at once as not run")
+{
+    const std::string path =
+        GENERATE(as<std::string>{}, "/all/x", "/one/x", "/order/x");
+    stopping_host host([](const target_call& call, std::size_t)
+                       { return good_answer(call.to.value); });
+    host.stop();
+    host.run.run_until(refuse_from - instant{} - 100ms);
+    host.start(path, 20s);
+    host.run.run_until(refuse_from - instant{});
+    REQUIRE(host.replies.size() == 1);
+    CHECK(host.replies[0].status == 200);
+    const std::size_t sent = host.targets.sent;
+    host.start(path, 20s);
+    host.run.run_until(refuse_from - instant{} + 1ms);
+    REQUIRE(host.replies.size() == 2);
+    CHECK(host.replies[1].status == 503);
+    CHECK(host.replies[1].retry_after.has_value());
+    CHECK(host.targets.sent == sent);
+}
+
 } // namespace
