Soak: check kept connections in planned operations, silent leafs, keepers

The check of planned operations left out requests on kept connections, which are most, and those whose leaf had not recorded them yet. It looks at the end now: a request that ended without an answer breaks the promise if a leaf has run it, or if its last byte was sent over 0.2 s before. New are callers that use a connection until it ends, long requests with a deadline of 6 s, leafs that are silent beyond a stop, and orders whose body takes up to 2.5 s.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,9 @@
 
 VERSION_SLACK_S = 0.25
 
+# Time within which a host may still close a connection on which a request arrives.
+LOSS_SLACK_S = 0.2
+
 # Number of services that versions use in turn; a host may skip some versions.
 VERSIONS = 16
 
@@ -20,9 +23,10 @@
         self.counts = {}
         self.answers = {}
         self.newest = {}
+        self.cut = []
         self.number = 0
 
-    async def call(self, ip, port, lines, body=b"", pool=None, timeout=3.0):
+    async def call(self, ip, port, lines, body=b"", pool=None, timeout=3.0, body_delay=0.0):
         """Returns status, headers and body; None with a reason when the call fails."""
         key = (ip, port)
         kept = pool.pop(key, None) if pool is not None else None
@@ -30,7 +34,12 @@
         try:
             reader, writer = kept or await asyncio.wait_for(
                 asyncio.open_connection(ip, port), 1.0)
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            if body_delay:
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+                await asyncio.sleep(body_delay)
+                writer.write(body)
+            else:
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             sent = True
             head = await asyncio.wait_for(read_head(reader), timeout)
             if head is None:
@@ -67,37 +76,43 @@
         self.world.report_violation("start", "no directory returned two hosts within 20 s")
 
     async def run(self, caller, until):
+        """Sends one request after the other. Callers below `args.keepers` use each open
+        connection until it ends, whatever the directory returns meanwhile."""
         rng = random.Random(f"{self.world.seed}/{caller}")
+        keeps = caller < self.world.args.keepers
         pool, hosts, resolved_at = {}, [], 0.0
         while time.monotonic() < until:
             if not hosts or time.monotonic() - resolved_at > 2.0:
                 hosts = await self.resolve(rng) or hosts
                 resolved_at = time.monotonic()
-            if hosts:
-                await self.one(rng, rng.choice(hosts), pool)
-            await asyncio.sleep(rng.uniform(0.0, 0.06))
+            kept = [ip for ip, _ in pool] if keeps else []
+            if kept or hosts:
+                await self.one(rng, rng.choice(kept or hosts), pool)
+            await asyncio.sleep(rng.uniform(0.0, rng.choice([0.06, 1.5]) if keeps else 0.06))
 
     async def one(self, rng, ip, pool):
-        kind = rng.choices(["all", "one", "order", "version"], [5, 2, 2, 2])[0]
+        kind = rng.choices(["all", "one", "order", "version", "lookup"], [5, 2, 2, 2, 2])[0]
         self.number += 1
         request = f"{self.world.seed:x}-{self.number:x}"
         body = request.encode() if kind == "order" else b""
         method = "POST" if kind == "order" else "GET"
+        deadline_ms = 6000 if kind == "lookup" else 1500
         lines = [f"{method} /{kind}/{request} HTTP/1.1", "Host: h", f"X-Request-Id: {request}",
-                 "X-Deadline-Ms: 1500"]
+                 f"X-Deadline-Ms: {deadline_ms}"]
         if body:
             lines.append(f"Content-Length: {len(body)}")
         sent = time.monotonic()
         self.world.requests.append((sent, kind))
         node = next(one for one in self.world.nodes if one.ip == ip)
-        answer, why = await self.call(ip, self.world.port, lines, body, pool)
+        body_delay = rng.uniform(0.05, 2.5) if body and rng.random() < 0.2 else 0.0
+        answer, why = await self.call(ip, self.world.port, lines, body, pool,
+                                      deadline_ms / 1000 + 1.5, body_delay)
         outcome = str(answer[0]) if answer else why
         self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
         self.answers[request] = (kind, answer[0] if answer else None)
         if answer is None:
-            cut = "closed" == why or "after" in why
-            if cut and self.world.args.planned and self.world.runs.get(request):
-                self.world.report_violation("lost", f"{request} at {ip}: {why}")
+            if "closed" in why or "after" in why:
+                self.cut.append((request, ip, why, sent + body_delay, time.monotonic()))
             return
         status, headers, content = answer
         if status == 200:
@@ -172,6 +187,16 @@
         if unknown:
             self.world.report_violation("unasked", f"{unknown[:3]} ran without having been sent")
 
+    def check_lost(self):
+        """Around planned operations a host answers each request that it has passed on, or has
+        had for a while. A request on a kept connection may cross the host's close of it."""
+        for request, ip, why, sent, ended in self.cut:
+            if self.world.runs.get(request):
+                self.world.report_violation("lost", f"{request} at {ip}: {why}, passed on")
+            elif ended - sent > LOSS_SLACK_S:
+                self.world.report_violation(
+                    "lost", f"{request} at {ip}: {why} {ended - sent:.3f} s after it was sent")
+
     async def check_served(self):
         """Five seconds after the last fault at least 90% of requests succeed."""
         await asyncio.sleep(5)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -28,6 +28,7 @@
 DRAIN_S = 3.0
 GRACE_S = 6.0
 CONNECTIONS = 24
+LOOKUP_WORK_S = 0.16
 # Covers each kind of failure within a second or two.
 EXPLAINED_REQUESTS = 60
 # Requests a second that leafs name, far below their demand.
@@ -163,9 +164,11 @@
                  backend="desk"),
             dict(common, name="order", prefix="/order/", type="non_idempotent",
                  targetLatencyMs=200, backend="desk"),
+            dict(common, name="lookup", prefix="/lookup/", type="idempotent", timeoutMs=6000,
+                 targetLatencyMs=600, backend="lookup"),
             dict(common, name="version", prefix="/version/", type="idempotent",
                  targetLatencyMs=200, backend=f"v{self.version % VERSIONS}")]
-        names = set(services) | {"desk"} | {f"v{n}" for n in range(VERSIONS)}
+        names = set(services) | {"desk", "lookup"} | {f"v{n}" for n in range(VERSIONS)}
         self.store.put("op/config", {
             "version": self.version * 3, "routes": routes,
             "backends": [{"name": name, "healthCheck": "/health", "maxConns": CONNECTIONS}
@@ -183,6 +186,8 @@
             await self.add_leaf("s-other", zone)
             await self.add_leaf("desk", zone)
         await self.add_leaf("desk", "a")
+        for zone in "abab":
+            (await self.add_leaf("lookup", zone)).work = LOOKUP_WORK_S
         for n in range(VERSIONS):
             await self.add_leaf(f"v{n}", "ab"[n % 2])
         self.put_configuration()
@@ -228,6 +233,16 @@
             leaf.fault = None
         return f"leafs {fault}"
 
+    async def fault_leaf_hang(self):
+        """Some leafs of long requests take them and are silent, beyond a stop of a host."""
+        chosen = [leaf for leaf in self.leafs if leaf.service == "lookup"]
+        for leaf in self.rng.sample(chosen, max(1, len(chosen) // 2)):
+            leaf.fault, leaf.share = "silent", 1.0
+        await asyncio.sleep(self.rng.uniform(4, 8))
+        for leaf in chosen:
+            leaf.fault, leaf.share = None, 0.5
+        return "leafs hang"
+
     async def fault_leaf_limits(self):
         service = self.rng.choice(sorted({leaf.service for leaf in self.leafs}))
         chosen = [leaf for leaf in self.leafs if leaf.service == service and not leaf.limit
@@ -250,12 +265,12 @@
         self.leafs.remove(leaf)
         await asyncio.sleep(self.rng.uniform(0.5, 2))
         self.store.delete(leaf.key)
-        await self.add_leaf(leaf.service, leaf.zone)
+        (await self.add_leaf(leaf.service, leaf.zone)).work = leaf.work
         return "leaf lost"
 
     async def fault_leaf_leaves(self):
         leaf = self.rng.choice(self.leafs)
-        await self.add_leaf(leaf.service, leaf.zone)
+        (await self.add_leaf(leaf.service, leaf.zone)).work = leaf.work
         self.store.put(leaf.key, leaf.entry("draining"))
         leaf.leaving_since = time.monotonic()
         self.leafs.remove(leaf)
@@ -320,6 +335,9 @@
         self.disturb(node, GRACE_S)
         node.expected_end = True
         node.signal(signal.SIGTERM)
+        if self.args.plant == "lost":
+            await asyncio.sleep(0.5)
+            node.signal(signal.SIGKILL)
         try:
             await asyncio.wait_for(node.process.wait(), GRACE_S)
         except asyncio.TimeoutError:
@@ -347,7 +365,7 @@
         names = self.args.kinds.split(",") if self.args.kinds else sorted(
             name.removeprefix("fault_") for name in dir(self) if name.startswith("fault_"))
         if self.args.planned:
-            names = ["term", "hup", "config", "leaf_leaves"]
+            names = ["term", "hup", "config", "leaf_leaves", "leaf_hang"]
         kinds = [getattr(self, f"fault_{name}") for name in names]
         tasks = []
         while time.monotonic() < until:
@@ -429,6 +447,8 @@
     world.check_budget()
     world.check_limits()
     callers.check_once()
+    if args.planned:
+        callers.check_lost()
     if args.ctl:
         world.check_explained()
     verdict = "ok" if not world.violations else "BROKEN"
@@ -449,9 +469,11 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=5)
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--keepers", type=int, default=0,
+                        help="number of callers that use a connection until it ends")
     parser.add_argument("--planned", action="store_true", help="only planned operations, no faults")
     parser.add_argument("--kinds", help="comma-separated names of faults; default all")
-    parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain", "limit"],
+    parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain", "limit", "lost"],
                         help="inject a violation; the run must fail")
     parser.add_argument("--ctl", help="path of basilpathctl; verifies that the logs "
                         "explain each failed request")
