Take a success without a signature as no answer of a replica

Another operator saw a 200 with an empty or short body after a replica had stopped in the middle of a head. Here such an answer ends as broken, wherever it is cut (new test, passed before); but a head that lost its fields and still ends in an empty line was passed on as a whole 200.

Cause: a request to a single replica did not look at the signature.

Change: a success without a signature ends the connection, the call as broken; event answer_unsigned.

--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -1,5 +1,6 @@
 #include "node/connection/socket_options.hpp"
 #include "node/connection/target_connection.hpp"
+#include "process/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -198,6 +199,15 @@
         this->start_parser();
         return true;
     }
+    if (reply.success() && reply.signature.empty())
+    {
+        log_event(log_level::warning, "answer_unsigned",
+                  {{"request", this->call->query->id.value},
+                   {"replica", this->call->to.value},
+                   {"status", reply.status},
+                   {"bytes", reply.body.size()}});
+        return false; // Not from the replica, or the rest of its head is lost.
+    }
     this->must_close = this->must_close || !has_length || !keep;
     if (reply.keep_alive_timeout)
     {
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -157,6 +157,46 @@
     CHECK(node.results[0].end == call_end::broken);
 }
 
+// Guards against a success that is made of the beginning of an answer.
+TEST_CASE("an answer that ends anywhere before its end is no answer")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n";
+    // Without a length only the head is known to be whole.
+    const std::string whole = GENERATE_COPY(
+        as<std::string>{}, head + "Content-Length: 4\r\n\r\nbody",
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        head + "Content-Length: 0\r\n\r\n", head + "\r\n");
+    const std::size_t end = GENERATE_REF(range(std::size_t(0), whole.size()));
+    pool_fixture node(
+        [&whole, end](const std::string&, std::size_t) {
+            return raw_action{whole.substr(0, end), true};
+        });
+    node.start("one");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+}
+
+// Guards against an empty or short success that its caller takes as whole.
+TEST_CASE("a success without the signature of a replica is no answer")
+{
+    const std::string sent =
+        GENERATE(as<std::string>{}, "HTTP/1.1 200 OK\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nX-Response-Signature:\r\n\r\nshort",
+                 "HTTP/1.1 204 No Content\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    const bool closes = GENERATE(false, true);
+    pool_fixture node(
+        [&sent, closes](const std::string&, std::size_t) {
+            return raw_action{sent, closes};
+        });
+    node.start("one", false, 300ms);
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+}
+
 TEST_CASE("an answer without a length is complete when its connection is "
           "closed cleanly, and not when it is reset")
 {
