--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -13,6 +13,9 @@
 
 from limits import NamedLimit, host_of_connection
 
+# Items a page of the store, few enough for many pages.
+PAGE_ITEMS = 7
+
 
 def now_ms():
     return time.monotonic() * 1000.0
@@ -99,8 +102,11 @@
         self.oldest = 0
 
     def put(self, key, value):
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
         self.revision += 1
-        self.items[key] = (json.dumps(value).encode(), self.revision)
+        self.items[key] = (value, self.revision)
         self._record({"key": key, "value": base64.b64encode(self.items[key][0]).decode(),
                       "revision": self.revision, "createRevision": 1, "lease": 0})
 
@@ -142,7 +148,7 @@
         if path == "/kv-range":
             after = parameters.get("after", "")
             keys = sorted(key for key in self.items
-                          if key.startswith(parameters.get("prefix", "")) and key > after)[:50]
+                          if key.startswith(parameters.get("prefix", "")) and key > after)[:PAGE_ITEMS]
             has_more = any(key > keys[-1] for key in self.items
                            if key.startswith(parameters.get("prefix", ""))) if keys else False
             answer = {"items": [self._item(key) for key in keys], "hasMore": has_more}
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -33,6 +33,16 @@
 EXPLAINED_REQUESTS = 60
 # Requests a second that leafs name, far below their demand.
 LIMITS = [0.5, 1, 2, 4, 8, 15.5]
+NESTED = "[" * 200_000 + "]" * 200_000
+USUAL_ENTRY = ('"backend":"desk","address":"127.0.0.1:9","zone":"a","version":"v1",'
+               '"state":"ready","coldLeftMs":0,"seq":1,"born":1')
+# Bytes that other writers leave as the entry of a leaf.
+ODD_VALUES = [value.encode("latin-1") for value in (
+    f'{{{USUAL_ENTRY},"slots":{NESTED}}}', f'{{"slots":2,"coldLeftMs":{NESTED}}}', NESTED,
+    f'{{{USUAL_ENTRY},"slots":1e400}}', f'{{{USUAL_ENTRY},"slots":99999999999999999999}}',
+    USUAL_ENTRY.join("{}").replace(":9", ":65536"), USUAL_ENTRY.join("{}").replace(":9", ":0"),
+    '{"backend":"desk"}', '[]', "\xff\xfe\x00", "")]
+ODD_KEYS = ["b&s", "b+s", "b s", "b%26", "b#s", "b?s=1", "a/b/c", "b\r\ns", "b\u00e9", "~" * 190]
 LEAF_FAULTS = ["shed", "error", "slow", "silent", "reset", "reset-before", "cut", "extra",
                "unframed"]
 
@@ -287,6 +297,19 @@
         self.store_steady_since = time.monotonic()
         return f"store {mode}"
 
+    async def fault_odd_entry(self):
+        """Another writer leaves entries that name no leaf, at times across a full read."""
+        keys = [f"servers/{key}" for key in self.rng.sample(ODD_KEYS, 4)]
+        for key in keys:
+            self.store.put_bytes(key, self.rng.choice(ODD_VALUES))
+        await asyncio.sleep(self.rng.uniform(0.1, 1))
+        if self.rng.random() < 0.5:
+            self.store.compact()
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        for key in keys:
+            self.store.delete(key)
+        return "odd entries"
+
     async def fault_compact(self):
         self.store.compact()
         return "store compacted"
--- a/test/odd_entry_test.cpp
+++ b/test/odd_entry_test.cpp
@@ -104,4 +104,55 @@
          1})));
 }
 
+// Guards against entries of another writer that hosts cannot use or that end
+// them.
+TEST_CASE("a replica entry with a needed number out of range is unusable")
+{
+    const std::string value =
+        GENERATE(as<std::string>{}, "1e400", "-1", "99999999999999999999",
+                 "18446744073709551616", "1e300", "2.5", "null");
+    CHECK(std::holds_alternative<unusable_item>(
+        decode_entry(entry_with("slots", value))));
+}
+
+TEST_CASE("a replica entry with another number out of range keeps the default "
+          "or is unusable")
+{
+    const std::string_view field = GENERATE("coldLeftMs", "born", "seq");
+    const std::string value =
+        GENERATE(as<std::string>{}, "1e400", "-1", "-9223372036854775808",
+                 "99999999999999999999", "18446744073709551615", "1e300");
+    const decoded_item item = decode_entry(entry_with(field, value));
+    if (const auto* const one = std::get_if<replica>(&item))
+    {
+        CHECK(one->warmup == milliseconds(0));
+        CHECK((one->started == 0 || field != "born"));
+    }
+    else
+    {
+        CHECK(std::holds_alternative<unusable_item>(item));
+    }
+}
+
+TEST_CASE("a replica entry whose address has no usable port is unusable")
+{
+    const std::string address =
+        GENERATE(as<std::string>{}, "10.0.0.1:65536", "10.0.0.1:0",
+                 "10.0.0.1:-1", "10.0.0.1:99999999999999999999",
+                 "10.0.0.1:", "10.0.0.1: 80", "10.0.0.1:+80", "0.0.0.0:80");
+    CHECK(std::holds_alternative<unusable_item>(
+        decode_entry(entry_with("address", '"' + address + '"'))));
+}
+
+// Guards against an id that would add a line to the head of a call.
+TEST_CASE("a replica entry whose id is not a header value is unusable")
+{
+    const std::string id = GENERATE(as<std::string>{}, "i-1\r\nX-Smuggled: 1",
+                                    "i 1", "i\t1", "i\x7f", "\xc3\xa9", "");
+    CHECK(std::holds_alternative<unusable_item>(
+        decode_item({"servers/" + id, entry_with("", ""), 1})));
+    CHECK(std::holds_alternative<replica>(
+        decode_item({"servers/i+1&a=b%/c", entry_with("", ""), 1})));
+}
+
 } // namespace
