--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -33,7 +33,7 @@
 
 /// Shortest time for which a leaving host keeps serving, so that callers stop
 /// using it: the time for which they cache an answer of the directory, and a
-/// margin.
+/// margin. Later requests are refused.
 inline constexpr milliseconds min_drain_time{2'500};
 
 /// Time reserved before the forced end. Requests in progress are answered when
