Read the store in full after a watch answer that is too long

Cause: the answer of a watch holds all changes since its revision. One longer than the client accepts (16 MB) fails, and the next watch from the same revision is as long.

Change: such an answer leads to a full read, which returns the changes page by page; event full_read_due with its reason.

--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -45,6 +46,7 @@
 asio::awaitable<std::optional<http_response>>
 node_http_client::get(std::string target, milliseconds timeout)
 {
+    this->too_long = false;
     if (!this->connected)
     {
         const bool made = co_await this->connect(timeout);
@@ -69,6 +71,7 @@
                                   asio::as_tuple(asio::use_awaitable));
     if (read_error)
     {
+        this->too_long = read_error == http::error::body_limit;
         co_return this->close_with_error("read: " + read_error.message());
     }
     this->stream.expires_never();
--- a/src/node/connection/http_client.hpp
+++ b/src/node/connection/http_client.hpp
@@ -34,6 +34,13 @@
         return this->error_text;
     }
 
+    /// Returns whether the last request failed because its response was longer
+    /// than this client accepts.
+    [[nodiscard]] bool response_too_long() const
+    {
+        return this->too_long;
+    }
+
     /// Closes the connection; a request in progress fails.
     void close();
 
@@ -45,6 +52,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::string error_text;
+    bool too_long = false;
     bool connected = false;
 };
 
--- a/src/node/process/item_source.hpp
+++ b/src/node/process/item_source.hpp
@@ -18,7 +18,8 @@
 enum class read_end : std::uint8_t
 {
     done,
-    compacted,  ///< the requested history is gone; a full read is needed
+    compacted,  ///< the requested history is gone or too long; a full read is
+                ///< needed
     unavailable ///< no response, or an error response
 };
 
--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -155,6 +155,8 @@
     if (result.end == read_end::compacted)
     {
         this->full_read_due = true;
+        log_event(log_level::info, "full_read_due",
+                  {{"after", after}, {"reason", result.reason}});
     }
     if (result.end != read_end::done)
     {
--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -87,6 +87,12 @@
     asio::awaitable<http_response> answer(std::shared_ptr<http_request> request)
     {
         ++this->calls;
+        if (request->target().starts_with("/kv-watch"))
+        {
+            http_response response(boost::beast::http::status::ok, 11);
+            response.body() = this->watch_answer;
+            co_return response;
+        }
         auto wanted = parameters_of(std::string_view(request->target().data(),
                                                      request->target().size()));
         std::vector<std::string> matching;
@@ -116,12 +122,29 @@
 
     read_result read()
     {
-        platform::store_source source(
-            this->context.get_executor(),
-            http_address("127.0.0.1:" +
-                         std::to_string(this->server.local_endpoint().port())));
+        platform::store_source source(this->context.get_executor(),
+                                      this->address());
+        return this->run(source.read_all(2s));
+    }
+
+    read_result watch()
+    {
+        platform::store_source source(this->context.get_executor(),
+                                      this->address());
+        return this->run(source.watch(5, 100ms, 10s));
+    }
+
+    [[nodiscard]] http_address address() const
+    {
+        return http_address(
+            "127.0.0.1:" +
+            std::to_string(this->server.local_endpoint().port()));
+    }
+
+    read_result run(asio::awaitable<read_result> call)
+    {
         std::optional<read_result> result;
-        asio::co_spawn(this->context, source.read_all(2s),
+        asio::co_spawn(this->context, std::move(call),
                        [&result](const std::exception_ptr&, read_result read)
                        { result = std::move(read); });
         for (int i = 0; i < 5000 && !result; ++i)
@@ -135,6 +158,8 @@
     std::vector<std::string> keys;
     std::size_t page;
     std::size_t calls = 0;
+    std::string value = "v";
+    std::string watch_answer;
 
     /// Key of the item that has no usable revision.
     std::string spoiled;
@@ -186,4 +211,31 @@
     CHECK(store.calls == 4);
 }
 
+// Guards against hosts that no longer follow the store after more changes than
+// fit into one answer.
+TEST_CASE("a watch whose answer is too long leads to a full read")
+{
+    paged_store store({"op/config"}, 1);
+    store.watch_answer =
+        std::string(17'000'000, ' ') + R"({"events": [], "currentRev": 9})";
+    CHECK(store.watch().end == read_end::compacted);
+    store.watch_answer = R"({"events": [], "currentRev": 9})";
+    CHECK(store.watch().end == read_end::done);
+}
+
+// Guards against large entries of another writer that take the memory of every
+// host.
+TEST_CASE(
+    "an entry that is too long for a replica is kept without its value, a "
+    "configuration as it is")
+{
+    paged_store store({"op/config", "op/other", "servers/a"}, 2);
+    store.value = std::string(1'000'000, 'x');
+    const read_result result = store.read();
+    REQUIRE(result.update.changes.size() == 3);
+    CHECK(result.update.changes[0].value == store.value);
+    CHECK(result.update.changes[1].value == "");
+    CHECK(result.update.changes[2].value == "");
+}
+
 } // namespace
