--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -109,7 +109,7 @@
                 items.push_back(
                     {{"key", key},
                      {"revision", this->spoiled == key ? json("odd") : json(5)},
-                     {"value", to_base64("v")}});
+                     {"value", to_base64(this->value)}});
             }
         }
         http_response response(boost::beast::http::status::ok, 11);
