--- a/test/node_client_test.cpp
+++ b/test/node_client_test.cpp
@@ -21,7 +21,7 @@
 /// A client of a server that sends the same bytes to each request.
 struct client_fixture
 {
-    explicit client_fixture(raw_action action)
+    explicit client_fixture(const raw_action& action)
         : server(context,
                  [action](const std::string&, std::size_t) { return action; }),
           client(context.get_executor(), http_address(server.address()))
--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -216,10 +216,11 @@
 TEST_CASE("a watch whose answer is too long leads to a full read")
 {
     paged_store store({"op/config"}, 1);
-    store.watch_answer =
-        std::string(17'000'000, ' ') + R"({"events": [], "currentRev": 9})";
+    const std::string answer = R"({"events": [], "currentRev": 9})";
+    store.watch_answer.assign(17'000'000, ' ');
+    store.watch_answer += answer;
     CHECK(store.watch().end == read_end::compacted);
-    store.watch_answer = R"({"events": [], "currentRev": 9})";
+    store.watch_answer = answer;
     CHECK(store.watch().end == read_end::done);
 }
 
