Soak: count whole versions in the check that none goes back

Cause: the check saw the services that versions use in turn, modulo 16, and took a step forward of 9 to 15 versions for a step back; steps back of 8 to 15 went unseen.

Change: a leaf records which version was the newest one published when it ran a request, so that the service names one version.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 LOSS_SLACK_S = 0.2
 STALL_CHECK_S = 0.02
 
-# Number of services that versions use in turn; a host may skip some versions.
+# Number of services that versions use in turn.
 VERSIONS = 16
 
 class Callers:
@@ -167,16 +167,18 @@
         runs = self.world.runs.get(request, [])
         if not runs:
             return
-        seen = int(runs[0][0][1:])
+        # Versions use the services in turn, so this is the newest version published by then
+        # that the host may have used.
+        published = self.world.published_at_run[request]
+        seen = published - (published - int(runs[0][0][1:])) % VERSIONS
         key = (node.ip, node.process.pid)
-        newest, since = self.newest.get(key, (None, 0.0))
-        back = (newest - seen) % VERSIONS if newest is not None else 0
-        if 0 < back < VERSIONS // 2:
+        newest, since = self.newest.get(key, (0, 0.0))
+        if seen < newest:
             if sent > since + VERSION_SLACK_S:
                 self.world.report_violation(
                     "version", f"{request} at {node.ip} ran at v{seen} after v{newest}")
             return
-        if seen != newest:
+        if seen > newest:
             self.newest[key] = (seen, time.monotonic())
 
     def check_once(self):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -118,6 +118,7 @@
         self.leafs, self.all_leafs, self.nodes = [], [], []
         self.limits_checked = 0
         self.runs, self.arrivals, self.requests = {}, [], []
+        self.published_at_run = {}
         self.version, self.shard_sets = 0, {}
         self.violations = []
         self.next_leaf = 0
@@ -132,6 +133,7 @@
     def record_run(self, request, leaf, first, body):
         self.runs.setdefault(request, []).append((leaf.service, leaf.id, first[0], first[1],
                                                   body))
+        self.published_at_run.setdefault(request, self.version)
         self.arrivals.append((time.monotonic(), leaf.service, request))
         if self.args.plant == "twice":
             self.runs[request].append(self.runs[request][-1])
