--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -1,6 +1,7 @@
 #include "node/connection/http_server.hpp"
 #include "store_source.hpp"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <catch2/catch.hpp>
@@ -117,6 +118,8 @@
             {"items", items},
             {"hasMore", matching.size() > items.size()},
             {"currentRev", 7}}.dump();
+        boost::algorithm::replace_all(response.body(), placeholder,
+                                      this->odd_text);
         co_return response;
     }
 
@@ -163,6 +166,10 @@
 
     /// Key of the item that has no usable revision.
     std::string spoiled;
+
+    /// What the answers hold in place of each placeholder in a key.
+    std::string odd_text;
+    static constexpr const char* placeholder = "{odd}";
     node_http_server server;
 };
 
@@ -211,6 +218,43 @@
     CHECK(store.calls == 4);
 }
 
+// Guards against a key of another writer that makes its page, and so every
+// replica on it, unreadable.
+TEST_CASE("a key that is not valid text leaves the other items readable")
+{
+    const std::string odd = GENERATE(as<std::string>{}, "\\udcff", "\\uD800",
+                                     "\\ud800\\u0041", "\\udc00\\ud800", "\xff",
+                                     "\xc3", "\xed\xb3\xbf", "\xf5\x80\x80\x80");
+    INFO(odd);
+    paged_store store({"op/config", "servers/a", "servers/a{odd}", "servers/b",
+                       "servers/b\"{odd}", "servers/c"},
+                      GENERATE(2U, 3U, 10U));
+    store.odd_text = odd;
+    const read_result result = store.read();
+    CHECK(result.end == read_end::done);
+    const std::vector<std::string> keys = keys_of(result);
+    for (const char* const one :
+         {"op/config", "servers/a", "servers/b", "servers/c"})
+    {
+        CHECK(std::ranges::count(keys, one) >= 1);
+    }
+    CHECK(store.calls <= 6);
+    store.watch_answer = R"({"events": [{"key": "servers/)" + odd +
+                         R"(", "revision": 9, "deleted": true}],)" +
+                         R"( "currentRev": 9})";
+    const read_result watched = store.watch();
+    CHECK(watched.end == read_end::done);
+    CHECK(watched.update.revision == 9);
+}
+
+TEST_CASE("a page of which no key is valid text is not read forever")
+{
+    paged_store store({"op/config", "servers/{odd}1", "servers/{odd}2"}, 1);
+    store.odd_text = "\\udcff";
+    CHECK(store.read().end != read_end::done);
+    CHECK(store.calls <= 3);
+}
+
 // Guards against hosts that no longer follow the store after more changes than
 // fit into one answer.
 TEST_CASE("a watch whose answer is too long leads to a full read")
