Divide the slack of the retry budget among the hosts that serve

Cause: the slack was divided by all live hosts. On a deployment of 95 hosts 15 serve, so that a serving host had 1.2 repeats a service and window: while replicas were slow across many shards, calls went without a repeat (no_budget) and parts were left out. The division was also too large elsewhere: a process that starts assumed eight hosts, so hosts that start together, or several times, could exceed the slack.

A line slack_divided and a gauge show the division.

The tests that set a host count set the same share as a fraction now.

--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -16,6 +16,7 @@
 #include "node/process/query_service.hpp"
 #include "node/process/retry_budget.hpp"
 #include "node/process/settled_demand.hpp"
+#include "node/process/slack_division.hpp"
 #include "node/process/store_reader.hpp"
 #include "node/process/store_view.hpp"
 #include "node/process/subquery_service.hpp"
@@ -75,6 +76,7 @@
     void apply_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> run_periodic_tasks();
     void update_shares();
+    void update_slack_share(instant now, const std::set<http_address>& serving);
     void update_limit_shares(instant now,
                              const std::set<http_address>& serving);
     void accept_links();
@@ -93,6 +95,7 @@
     traffic_meter traffic;
     pool targets;
     retry_budget repeats;
+    slack_division slack;
     request_log requests;
     node_metrics metrics;
     crash_detector crashes;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -88,6 +88,8 @@
               this->traffic),
       repeats({this->settings.repeat_ratio, this->settings.repeat_slack,
                this->settings.repeat_window}),
+      slack(this->settings.callers,
+            to_instant(std::chrono::steady_clock::now())),
       crashes([this](const suspected_crash& one) { this->handle_crash(one); }),
       outgoing_links(context, this->traffic),
       delegates(this->settings.links,
@@ -211,6 +213,7 @@
     stats.requests_not_logged = this->requests.dropped();
     stats.live_hosts = static_cast<double>(this->members.live().size());
     stats.replicas = static_cast<double>(this->targets.replica_count());
+    stats.slack_share = this->slack.share();
     stats.limited_replicas =
         static_cast<double>(this->targets.limited_replica_count());
     stats.limited_by_purpose = this->targets.limited_send_total();
@@ -434,16 +437,11 @@
 void node<Adapter>::update_shares()
 {
     const auto now = std::chrono::steady_clock::now();
-    std::size_t hosts = this->members.budget_host_count(to_instant(now));
-    if (now - this->started < node_bounds::discovery_time)
-    {
-        hosts = std::max(hosts, node_bounds::assumed_hosts);
-    }
     const std::set<http_address> serving =
         serving_hosts(this->current_cluster(), this->settings.domains);
     this->targets.set_serving_hosts(serving.size(),
                                     serving.contains(this->settings.callers));
-    this->repeats.set_host_count(hosts);
+    this->update_slack_share(to_instant(now), serving);
     const gathering_hosts gathering = choose_gathering_hosts(
         this->members.live(), serving, this->settings.domain);
     this->delegates.set_hosts(gathering.delegates);
@@ -451,6 +449,25 @@
     this->update_limit_shares(to_instant(now), serving);
 }
 
+// Divides the slack of the retry budget.
+template <class Adapter>
+void node<Adapter>::update_slack_share(instant now,
+                                       const std::set<http_address>& serving)
+{
+    const std::size_t counted_before = this->slack.counted_hosts();
+    this->slack.update(this->members.budget_host_count(now), serving,
+                       this->settings.repeat_window, now);
+    this->repeats.set_slack_share(this->slack.share());
+    if (this->slack.counted_hosts() != counted_before)
+    {
+        log_event(log_level::info, "slack_divided",
+                  {{"hosts", this->slack.counted_hosts()},
+                   {"serving", serving.size()},
+                   {"serves", serving.contains(this->settings.callers)},
+                   {"share", this->slack.share()}});
+    }
+}
+
 // Announces this host's demand for the services of which a replica names a
 // limit, and divides the limits by the demands that hosts announce.
 template <class Adapter>
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -80,6 +80,9 @@
           stats.replicas);
     gauge("basilpath_node_limited_replicas", "Replicas that name a limit.",
           stats.limited_replicas);
+    gauge("basilpath_node_slack_share",
+          "This host's share of the slack of the retry budget, as a fraction.",
+          stats.slack_share);
     gauge("basilpath_node_configuration_version",
           "Version of the configuration in force; zero before the first.",
           stats.configuration_version);
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -24,6 +24,7 @@
     double live_hosts = 0;
     double replicas = 0;
     double limited_replicas = 0;
+    double slack_share = 0;
     limited_sends::by_purpose limited_by_purpose{};
     double configuration_version = 0;
     double view_age_seconds = 0;
--- a/src/node/process/retry_budget.cpp
+++ b/src/node/process/retry_budget.cpp
@@ -9,10 +9,6 @@
 namespace
 {
 
-// Half of the slack is never spent: a host that restarts loses its counters and
-// spends its share again.
-constexpr double restart_reserve = 0.5;
-
 // Margin on the ratio, because the windows of different hosts are not aligned.
 constexpr double ratio_margin = 0.9;
 
@@ -22,10 +18,9 @@
 
 } // namespace
 
-void retry_budget::set_host_count(std::size_t hosts)
+void retry_budget::set_slack_share(double share)
 {
-    this->slack_share = this->bound.slack * restart_reserve /
-                        static_cast<double>(std::max<std::size_t>(hosts, 1));
+    this->slack_share = share;
 }
 
 void retry_budget::note_request(const service_name& service, instant now)
@@ -106,7 +101,8 @@
         requests +=
             one.number > number - std::int64_t(slices) ? one.requests : 0;
     }
-    return this->bound.ratio * ratio_margin * requests + this->slack_share;
+    return this->bound.ratio * ratio_margin * requests +
+           this->bound.slack * this->slack_share;
 }
 
 } // namespace basilpath
--- a/src/node/process/retry_budget.hpp
+++ b/src/node/process/retry_budget.hpp
@@ -28,10 +28,10 @@
     hedge  ///< the call is slow; without a hedge its part may be late
 };
 
-/// This host's part of the bound: `ratio` of its own requests and an equal
-/// share of the slack, so that the sum over all hosts stays within the bound
-/// whatever each of them observes. Needed when many replicas fail at once and
-/// every request requires a retry.
+/// This host's part of the bound: `ratio` of its own requests and its share of
+/// the slack (`slack_division`), so that the sum over all hosts stays within
+/// the bound whatever each of them observes. Needed when many replicas fail at
+/// once and every request requires a retry.
 class retry_budget
 {
 public:
@@ -43,8 +43,8 @@
         this->bound = new_bound;
     }
 
-    /// Sets the number of hosts that share the slack.
-    void set_host_count(std::size_t hosts);
+    /// Sets this host's share of the slack, as a fraction.
+    void set_slack_share(double share);
 
     /// Counts a caller's request for a service.
     void note_request(const service_name& service, instant now);
@@ -79,7 +79,7 @@
                                          std::int64_t number) const;
 
     repeat_bound bound;
-    double slack_share = 1.0;
+    double slack_share = 0.0;
     std::map<service_name, history> services;
 };
 
--- a/test/linked_hosts.hpp
+++ b/test/linked_hosts.hpp
@@ -43,8 +43,8 @@
         this->near.usual.answer_bytes = 1'000;
         this->queries.set_routes(this->table);
         this->subqueries.set_routes(this->table);
-        this->near_budget.set_host_count(2);
-        this->far_budget.set_host_count(2);
+        this->near_budget.set_slack_share(0.25);
+        this->far_budget.set_slack_share(0.25);
         this->delegates.set_hosts(std::vector{this->gatherer});
         this->delegates.on_hello(this->gatherer.address);
         this->open_link();
--- a/test/node_decisions_test.cpp
+++ b/test/node_decisions_test.cpp
@@ -242,7 +242,7 @@
     std::vector<std::pair<microseconds, bool>> arrivals;
     for (auto& one : budgets)
     {
-        one.set_host_count(hosts);
+        one.set_slack_share(0.5 / hosts);
     }
     // Every request needs a repeat; the traffic stops for a while in between.
     for (microseconds now = 0ms; now < 60s; now += 5ms)
@@ -317,7 +317,7 @@
     for (int restart = 0; restart < 2; ++restart)
     {
         retry_budget budget({0.2, 20.0, milliseconds(10'000)});
-        budget.set_host_count(1);
+        budget.set_slack_share(0.5);
         while (budget.try_spend(service, at(restart * 1s)))
         {
             ++spent;
--- a/test/node_gather_test.cpp
+++ b/test/node_gather_test.cpp
@@ -291,7 +291,7 @@
 TEST_CASE("hedges stay within the retry budget when every replica is slow")
 {
     node_session_fixture node;
-    node.budget.set_host_count(2);
+    node.budget.set_slack_share(0.25);
     node.targets.behave = [](const target_call& call, std::size_t)
     {
         return good_answer(call.to.value, 200ms);
--- a/test/node_overload_test.cpp
+++ b/test/node_overload_test.cpp
@@ -53,7 +53,7 @@
         }
         this->queries.set_routes(
             node_session_fixture::make_table(shard_count, 0.75));
-        this->budget.set_host_count(1);
+        this->budget.set_slack_share(0.5);
     }
 
     // Sends queries at random times, at a mean rate per second, until `until`.
--- a/test/node_session_fixture.hpp
+++ b/test/node_session_fixture.hpp
@@ -35,7 +35,7 @@
         this->targets.add("one-a", "one", "a");
         this->targets.add("one-b", "one", "b");
         this->queries.set_routes(make_table(shards, least));
-        this->budget.set_host_count(1);
+        this->budget.set_slack_share(0.5);
     }
 
     static std::shared_ptr<const route_table> make_table(std::size_t shards,
--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -222,9 +222,9 @@
 // replica on it, unreadable.
 TEST_CASE("a key that is not valid text leaves the other items readable")
 {
-    const std::string odd = GENERATE(as<std::string>{}, "\\udcff", "\\uD800",
-                                     "\\ud800\\u0041", "\\udc00\\ud800", "\xff",
-                                     "\xc3", "\xed\xb3\xbf", "\xf5\x80\x80\x80");
+    const std::string odd = GENERATE(
+        as<std::string>{}, "\\udcff", "\\uD800", "\\ud800\\u0041",
+        "\\udc00\\ud800", "\xff", "\xc3", "\xed\xb3\xbf", "\xf5\x80\x80\x80");
     INFO(odd);
     paged_store store({"op/config", "servers/a", "servers/a{odd}", "servers/b",
                        "servers/b\"{odd}", "servers/c"},
