Name the requests that a stop cuts, and those left out of the log

The users' record of lost requests has no line with the id of a lost request: a request was logged when it ended, and a request whose host ended before it did not. The limit on log lines left out others without a trace of their ids.

- request_cut names each request that is unfinished when the process ends, and whether its answer was awaited or being sent; bytes_unread tells of bytes behind a request when a connection is closed; answer_not_sent of an answer that its caller did not take.
- stopped has the connections left, the duration and how late the end of the stop was noticed.
- basilpathctl explain takes these lines as ends of a request.

No logic of requests or stops is changed. Tests of the timeline are new; the fixture of the HTTP tests moved to a header.

--- a/src/node/connection/caller_presence.hpp
+++ b/src/node/connection/caller_presence.hpp
@@ -1,6 +1,8 @@
 /// The state of the connection to the caller of a request.
 #pragma once
 
+#include "version/ids.hpp"
+
 #include <chrono>
 #include <functional>
 #include <utility>
@@ -34,6 +36,17 @@
         return this->outbound_delay;
     }
 
+    /// Returns the id of the request; empty until it has been decoded.
+    [[nodiscard]] const request_id& request() const
+    {
+        return this->id;
+    }
+
+    void set_request(request_id decoded)
+    {
+        this->id = std::move(decoded);
+    }
+
     [[nodiscard]] bool disconnected() const
     {
         return this->disconnect_notified;
@@ -61,6 +74,7 @@
     }
 
 private:
+    request_id id;
     std::chrono::microseconds inbound_delay;
     std::chrono::microseconds outbound_delay;
     bool disconnect_notified = false;
--- a/src/node/connection/http_server.cpp
+++ b/src/node/connection/http_server.cpp
@@ -29,6 +29,10 @@
 // header timeouts, which are seconds.
 constexpr auto sweep_interval = 500ms;
 
+// Limit of the lines on unfinished connections; a host that stops as planned
+// has few.
+constexpr std::size_t max_unfinished_lines = 256;
+
 // Delay after a failed accept, for example when file descriptors run out.
 constexpr auto accept_retry_delay = 50ms;
 
@@ -125,6 +129,28 @@
     this->self->stop_accepting();
 }
 
+void node_http_server::log_unfinished() const
+{
+    std::size_t unfinished = 0;
+    const instant time = to_instant(std::chrono::steady_clock::now());
+    for (const auto& session : this->self->open_sessions())
+    {
+        if (!session->unfinished())
+        {
+            continue;
+        }
+        if (++unfinished <= max_unfinished_lines)
+        {
+            session->log_unfinished(time);
+        }
+    }
+    if (unfinished > max_unfinished_lines)
+    {
+        log_event(log_level::warning, "requests_not_logged",
+                  {{"count", unfinished - max_unfinished_lines}});
+    }
+}
+
 std::size_t node_http_server::busy_count() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/node/connection/http_server.hpp
+++ b/src/node/connection/http_server.hpp
@@ -49,6 +49,10 @@
     /// Stops accepting connections; those that are established are served.
     void stop_accepting();
 
+    /// Logs each connection on which a request is being read or answered, as
+    /// the process ends; the number of lines is bounded.
+    void log_unfinished() const;
+
     /// Returns the number of connections on which a request is being answered.
     [[nodiscard]] std::size_t busy_count() const;
 
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -106,6 +106,7 @@
         }
     }
     this->answering = false;
+    this->log_unread();
     this->close();
 }
 
@@ -151,6 +152,57 @@
            (this->reading || this->socket.available(ignored) == 0);
 }
 
+// Returns the id of the request that is being answered; empty if there is none
+// or it has not been decoded.
+std::string http_session::current_request() const
+{
+    return this->answering && this->caller ? this->caller->request().value
+                                           : std::string();
+}
+
+// Returns the bytes that have arrived and belong to no request in progress.
+std::size_t http_session::unread_bytes() const
+{
+    boost::system::error_code error;
+    const std::size_t available = this->socket.available(error);
+    return this->buffer.size() + (error ? 0 : available);
+}
+
+bool http_session::unfinished() const
+{
+    return this->answering || this->reading || this->unread_bytes() > 0;
+}
+
+void http_session::log_unfinished(instant now) const
+{
+    if (!this->answering)
+    {
+        this->log_unread();
+        return;
+    }
+    log_event(log_level::warning, "request_cut",
+              {{"request", this->current_request()},
+               {"outcome", this->sending ? "cut_while_sending" : "cut_waiting"},
+               {"status", 0},
+               {"took_us", (now - this->waiting_since).count()},
+               {"unread_bytes", this->unread_bytes()}});
+}
+
+// Logs the bytes that remain unread when the connection ends.
+void http_session::log_unread() const
+{
+    const std::size_t bytes = this->unread_bytes();
+    if (bytes > 0)
+    {
+        log_event(log_level::warning, "bytes_unread",
+                  {{"bytes", bytes},
+                   {"reading", this->reading},
+                   {"draining", this->server->draining},
+                   {"request_before",
+                    this->caller ? this->caller->request().value : ""}});
+    }
+}
+
 // Returns how many bytes may be buffered that complete no element of a request.
 std::size_t http_session::buffer_limit() const
 {
@@ -211,6 +263,7 @@
     }
     this->reading = false;
     this->answering = true;
+    this->waiting_since = now();
     co_return true;
 }
 
@@ -253,8 +306,19 @@
 {
     response.prepare_payload();
     const bool keep = response.keep_alive();
+    this->sending = true;
     const auto [error, count] = co_await http::async_write(
         this->socket, response, asio::as_tuple(asio::use_awaitable));
+    this->sending = false;
+    if (error)
+    {
+        log_event(log_level::info, "answer_not_sent",
+                  {{"request", this->current_request()},
+                   {"status", response.result_int()},
+                   {"bytes", response.body().size()},
+                   {"sent_bytes", count},
+                   {"reason", error.message()}});
+    }
     co_return !error && keep;
 }
 
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace basilpath
 {
@@ -58,6 +59,12 @@
     /// Closes the connection at once.
     void close();
 
+    /// Returns whether a request is being read or answered, or has arrived.
+    [[nodiscard]] bool unfinished() const;
+
+    /// Logs what the connection holds while its request is unfinished.
+    void log_unfinished(instant now) const;
+
     /// Returns whether a request is being answered.
     [[nodiscard]] bool busy() const
     {
@@ -76,6 +83,9 @@
     boost::asio::awaitable<bool> write(http_response response);
     boost::asio::awaitable<void> reject(const boost::system::error_code& why);
     void start_handler(std::shared_ptr<http_request> request);
+    [[nodiscard]] std::string current_request() const;
+    [[nodiscard]] std::size_t unread_bytes() const;
+    void log_unread() const;
 
     boost::asio::ip::tcp::socket socket;
     std::shared_ptr<http_server_state> server;
@@ -88,6 +98,9 @@
 
     bool answering = false;
 
+    /// Whether an answer is being sent.
+    bool sending = false;
+
     /// Whether this connection has carried a request.
     bool used = false;
 
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -175,6 +175,7 @@
 {
     const auto query = std::make_shared<const caller_query>(Adapter::query(
         std::move(*request), to_instant(std::chrono::steady_clock::now())));
+    presence->set_request(query->id);
     const caller_reply reply =
         co_await this->queries.answer(query, std::move(presence));
     co_return Adapter::reply(reply);
@@ -313,8 +314,19 @@
             break;
         }
     }
-    log_event(log_level::info, "stopped",
-              {{"unanswered", this->callers.busy_count()}});
+    const auto ended = std::chrono::steady_clock::now();
+    this->callers.log_unfinished();
+    this->requests.report_dropped();
+    log_event(
+        log_level::info, "stopped",
+        {{"unanswered", this->callers.busy_count()},
+         {"connections", this->callers.connection_count()},
+         {"took_ms",
+          std::chrono::duration_cast<milliseconds>(ended - started).count()},
+         {"late_ms",
+          std::max<std::int64_t>(
+              0,
+              std::chrono::duration_cast<milliseconds>(ended - end).count())}});
     flush_log();
 }
 
@@ -402,6 +414,7 @@
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
         this->update_shares();
+        this->requests.report_dropped();
         flush_log();
         if (++rounds % node_bounds::rounds_per_reload == 0)
         {
--- a/src/node/process/request_log.cpp
+++ b/src/node/process/request_log.cpp
@@ -2,10 +2,12 @@
 
 #include "process/log.hpp"
 
+#include <fmt/ranges.h>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <chrono>
+#include <ranges>
 
 namespace basilpath
 {
@@ -23,6 +25,12 @@
 // Lines that may be written at once after a quiet period.
 constexpr double burst_lines = 600;
 
+// Lines that are left for the ends of requests whose decisions are omitted.
+constexpr double end_line_reserve = 100;
+
+// Limit of the ids in one line on requests that were not logged.
+constexpr std::size_t max_dropped_ids = 32;
+
 void log_decision(const request_id& id, instant arrived,
                   const decision_record& one)
 {
@@ -106,13 +114,17 @@
                        const decision_trace& trace, instant now)
 {
     const std::size_t lines = trace.decisions().size() + 1;
-    if (!this->should_log(summary, lines, now))
+    const extent chosen = this->choose_extent(summary, lines, now);
+    if (chosen == extent::none)
     {
         return;
     }
-    for (const decision_record& one : trace.decisions())
+    if (chosen == extent::whole)
     {
-        log_decision(summary.id, summary.arrived, one);
+        for (const decision_record& one : trace.decisions())
+        {
+            log_decision(summary.id, summary.arrived, one);
+        }
     }
     log_event(log_level::info, "request",
               {{"request", summary.id.value},
@@ -125,11 +137,32 @@
                {"spent_us", summary.spent.count()},
                {"parts", summary.parts},
                {"shards", summary.shards},
-               {"repeats", summary.repeats}});
+               {"repeats", summary.repeats},
+               {"decisions_omitted",
+                chosen == extent::whole ? 0 : trace.decisions().size()}});
+}
+
+void request_log::report_dropped()
+{
+    if (this->dropped_count == this->dropped_reported)
+    {
+        return;
+    }
+    log_event(
+        log_level::warning, "requests_not_logged",
+        {{"count", this->dropped_count - this->dropped_reported},
+         {"latest", fmt::format("{}", fmt::join(this->dropped_ids |
+                                                    std::views::transform(
+                                                        &request_id::value),
+                                                ","))}});
+    this->dropped_reported = this->dropped_count;
+    this->dropped_ids.clear();
 }
 
-bool request_log::should_log(const request_summary& summary, std::size_t lines,
-                             instant now)
+// Takes the lines to write from the token bucket. The line that ends a request
+// may use tokens that its decisions must leave.
+request_log::extent request_log::choose_extent(const request_summary& summary,
+                                               std::size_t lines, instant now)
 {
     const std::chrono::duration<double> passed = now - this->refilled_at;
     this->refilled_at = now;
@@ -137,21 +170,25 @@
         burst_lines, this->line_tokens + passed.count() * lines_per_second);
     if (!summary.noteworthy && !is_sampled(summary.id))
     {
-        return false;
+        return extent::none;
+    }
+    if (static_cast<double>(lines) + end_line_reserve <= this->line_tokens)
+    {
+        this->line_tokens -= static_cast<double>(lines);
+        return extent::whole;
     }
-    if (static_cast<double>(lines) > this->line_tokens)
+    if (this->line_tokens >= 1)
     {
-        ++this->dropped_count;
-        return false;
+        this->line_tokens -= 1;
+        return extent::end_only;
     }
-    this->line_tokens -= static_cast<double>(lines);
-    if (this->dropped_count > this->dropped_reported)
+    ++this->dropped_count;
+    this->dropped_ids.push_back(summary.id);
+    if (this->dropped_ids.size() > max_dropped_ids)
     {
-        log_event(log_level::warning, "requests_not_logged",
-                  {{"count", this->dropped_count - this->dropped_reported}});
-        this->dropped_reported = this->dropped_count;
+        this->dropped_ids.pop_front();
     }
-    return true;
+    return extent::none;
 }
 
 } // namespace basilpath
--- a/src/node/process/request_log.hpp
+++ b/src/node/process/request_log.hpp
@@ -5,13 +5,15 @@
 #include "process/instant.hpp"
 
 #include <cstdint>
+#include <deque>
 
 namespace basilpath
 {
 
-/// Logs either all lines of a request or none: failed requests as long as the
-/// rate limit permits, others by sampling. Needed when so many requests fail
-/// that logging them all would take processor time from the other requests.
+/// Logs all lines of a request, only the one that ends it, or none: failed
+/// requests as long as the rate limit permits, others by sampling. Needed when
+/// so many requests fail that logging them all would take processor time from
+/// the other requests.
 class request_log
 {
 public:
@@ -19,6 +21,10 @@
     void note(const request_summary& summary, const decision_trace& trace,
               instant now);
 
+    /// Reports the requests that were not logged since the last report, with
+    /// the ids of the latest ones.
+    void report_dropped();
+
     /// Number of requests over the rate limit that should have been logged.
     [[nodiscard]] std::uint64_t dropped() const
     {
@@ -26,14 +32,25 @@
     }
 
 private:
-    [[nodiscard]] bool should_log(const request_summary& summary,
-                                  std::size_t lines, instant now);
+    /// How much of a request is logged.
+    enum class extent : std::uint8_t
+    {
+        none,
+        end_only,
+        whole
+    };
+
+    [[nodiscard]] extent choose_extent(const request_summary& summary,
+                                       std::size_t lines, instant now);
 
     /// Token bucket of log lines: the lines that may be written now.
     double line_tokens = 0;
     instant refilled_at{};
     std::uint64_t dropped_count = 0;
     std::uint64_t dropped_reported = 0;
+
+    /// Ids of the latest requests that were dropped and not reported yet.
+    std::deque<request_id> dropped_ids;
 };
 
 /// Returns whether a successful request is logged: the same result on every
--- a/src/process/ctl_explain.cpp
+++ b/src/process/ctl_explain.cpp
@@ -90,11 +90,11 @@
         const std::string cause = cause_of(timeline, end);
         text += fmt::format(
             "{} at {}: {} (status {}) after {} us\n  cause: {}\n", end.host,
-            end.line.value("time"), end.line.value("outcome"),
+            end.line.value("time"), outcome_of(end.line),
             end.line.value("status"), end.line.number("took_us"), cause);
         ends.push_back({{"host", end.host},
                         {"time", end.line.value("time")},
-                        {"outcome", end.line.value("outcome")},
+                        {"outcome", outcome_of(end.line)},
                         {"cause", cause}});
     }
     text_table events({"host", "after us", "event", "shard", "replica", ""});
--- a/src/process/request_timeline.cpp
+++ b/src/process/request_timeline.cpp
@@ -175,6 +175,15 @@
         last->line.number("at_us"), last->line.number("took_us"));
 }
 
+// Returns whether a line names the request among those that were not logged.
+bool names_omitted(const log_line& line, std::string_view request)
+{
+    return line.value("event") == "requests_not_logged" &&
+           std::ranges::any_of(line.value("latest") | std::views::split(','),
+                               [request](const auto& one)
+                               { return std::ranges::equal(one, request); });
+}
+
 } // namespace
 
 request_timeline::request_timeline(std::string request)
@@ -187,10 +196,15 @@
     const std::string& host = line.has("host") ? line.value("host") : source;
     if (line.value("request") == this->request)
     {
-        auto& lines =
-            line.value("event") == "request" ? this->ends : this->decisions;
+        const std::string& event = line.value("event");
+        const bool ends_request = event == "request" || event == "request_cut";
+        auto& lines = ends_request ? this->ends : this->decisions;
         lines.push_back({host, line});
     }
+    else if (names_omitted(line, this->request))
+    {
+        this->ends.push_back({host, line});
+    }
     else if (line.has("replica") && !line.has("request"))
     {
         this->on_replicas.push_back({host, line});
@@ -239,6 +253,11 @@
     return result;
 }
 
+std::string outcome_of(const log_line& line)
+{
+    return line.has("outcome") ? line.value("outcome") : "not_logged";
+}
+
 std::string cause_of(const request_timeline& timeline,
                      const timeline_entry& outcome)
 {
@@ -250,10 +269,15 @@
          {"replicas_at_limit",
           "the replicas were at the limits that they name"},
          {"host_stopping", "the host was stopping"},
+         {"cut_waiting", "the host ended before it had answered"},
+         {"cut_while_sending",
+          "the host ended before the caller had read the answer"},
+         {"not_logged",
+          "the host wrote no lines on it, as too many requests failed"},
          {"host_stopped_may_have_run",
           "the host stopped before a replica had answered"},
          {"caller_left", "the caller left before the answer"}};
-    const std::string& name = outcome.line.value("outcome");
+    const std::string name = outcome_of(outcome.line);
     const auto known = without_calls.find(name);
     std::string text = known == without_calls.end() ? "" : known->second;
     const std::string missing =
--- a/src/process/request_timeline.hpp
+++ b/src/process/request_timeline.hpp
@@ -62,6 +62,10 @@
     std::vector<timeline_entry> on_replicas;
 };
 
+/// Returns the outcome that a line which ends a request names; `not_logged` for
+/// a line on requests that were left out of the log.
+[[nodiscard]] std::string outcome_of(const log_line& line);
+
 /// Returns in one sentence why a request ended as it did on one host, from its
 /// decisions there and the line that ends it.
 [[nodiscard]] std::string cause_of(const request_timeline& timeline,
--- a/test/node_http_test.cpp
+++ b/test/node_http_test.cpp
@@ -1,11 +1,6 @@
-#include "node/connection/http_server.hpp"
+#include "http_server_fixture.hpp"
 #include "process/output_buffer.hpp"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <unistd.h>
@@ -19,88 +14,10 @@
 {
 
 using namespace basilpath;
+using namespace basilpath::test;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-/// A server whose handler answers with the request's target after a delay, and
-/// one caller.
-struct server_fixture
-{
-    server_fixture()
-        : server(context, "127.0.0.1:0",
-                 [this](std::shared_ptr<http_request> request,
-                        std::shared_ptr<caller_presence> presence) {
-                     return this->answer(std::move(request),
-                                         std::move(presence));
-                 }),
-          caller(context)
-    {
-        this->server.start();
-        this->caller.connect(this->server.local_endpoint());
-        this->caller.non_blocking(true);
-    }
-
-    asio::awaitable<http_response>
-    answer(std::shared_ptr<http_request> request,
-           std::shared_ptr<caller_presence> presence)
-    {
-        ++this->handled_requests;
-        presence->on_disconnect([this] { this->caller_disconnected = true; });
-        asio::steady_timer timer(this->context);
-        timer.expires_after(this->delay);
-        co_await timer.async_wait(asio::use_awaitable);
-        http_response response(boost::beast::http::status::ok, 11);
-        response.body() = std::string(request->target());
-        co_return response;
-    }
-
-    void send(const std::string& text)
-    {
-        asio::write(this->caller, asio::buffer(text));
-    }
-
-    // Runs until `done` holds, or for 5 s, and returns all the caller has read.
-    template <class Condition>
-    std::string receive(Condition done)
-    {
-        for (int i = 0; i < 5000 && !done(); ++i)
-        {
-            this->context.run_for(1ms);
-            this->read();
-        }
-        return this->received;
-    }
-
-    // Reads the bytes that have arrived at the caller.
-    void read()
-    {
-        std::array<char, 4096> chunk{};
-        boost::system::error_code error;
-        const auto count = this->caller.read_some(asio::buffer(chunk), error);
-        this->received.append(chunk.data(), count);
-        this->closed = this->closed || error == asio::error::eof ||
-                       error == asio::error::connection_reset;
-    }
-
-    std::string receive_text(const std::string& text)
-    {
-        return this->receive(
-            [this, &text] {
-                return this->closed ||
-                       this->received.find(text) != std::string::npos;
-            });
-    }
-
-    asio::io_context context;
-    milliseconds delay{0};
-    int handled_requests = 0;
-    bool caller_disconnected = false;
-    bool closed = false;
-    std::string received;
-    node_http_server server;
-    asio::ip::tcp::socket caller;
-};
-
 TEST_CASE("two requests in one segment are answered in order")
 {
     server_fixture node;
--- a/test/request_timeline_test.cpp
+++ b/test/request_timeline_test.cpp
@@ -93,6 +93,34 @@
           "their limit)");
 }
 
+// Guards against a request that its host cut when it ended: no line named it.
+TEST_CASE("the cause of a request that was cut names the end of its host")
+{
+    const auto [outcome, cause] = GENERATE(table<std::string, std::string>(
+        {{"cut_waiting", "the host ended before it had answered"},
+         {"cut_while_sending",
+          "the host ended before the caller had read the answer"}}));
+    request_timeline timeline("r1");
+    feed(timeline, "a.log",
+         "host=n1 event=leaving answering=1\n"
+         "host=n1 event=request_cut request=r1 outcome=" +
+             outcome + " status=0 took_us=5300000 unread_bytes=0\n");
+    CHECK(timeline.found());
+    CHECK(only_cause(timeline) == cause);
+}
+
+TEST_CASE("a request that was left out of the log is found by its id")
+{
+    request_timeline timeline("r2");
+    feed(timeline, "a.log",
+         "host=n1 event=requests_not_logged count=4 latest=r1,r2,r3\n"
+         "host=n2 event=requests_not_logged count=4 latest=r1,r22\n");
+    REQUIRE(timeline.outcomes().size() == 1);
+    CHECK(timeline.outcomes().front().host == "n1");
+    CHECK(only_cause(timeline) ==
+          "the host wrote no lines on it, as too many requests failed");
+}
+
 TEST_CASE("for each host and replica the last event before the request's end "
           "and the next one are kept")
 {
