Answer the requests that a leaving host has read behind another one

What callers saw: requests sent on one connection, the second before the answer of the first, ended without an answer and without a line in any log when their host was leaving.

Cause: while a request is answered, the session reads on, and the bytes belong to the next request. The answer of a host that leaves carried Connection: close whatever had been read, and the session closed the connection with whole requests in its buffer or in the socket.

Fix: an answer announces the close only if nothing has been read or has arrived behind its request.

That the users' cases have this cause is not proved: their record does not show which connections carried what.

--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -95,8 +95,9 @@
         http_response response = std::move(*this->answer);
         this->answer.reset();
         response.version(version);
-        response.keep_alive(keep && response.keep_alive() &&
-                            !this->server->draining);
+        response.keep_alive(
+            keep && response.keep_alive() &&
+            (!this->server->draining || this->unread_bytes() > 0));
         const bool keep_open = co_await this->write(std::move(response));
         this->answering = false;
         this->waiting_since = now();
--- a/test/node_http_stop_test.cpp
+++ b/test/node_http_stop_test.cpp
@@ -17,8 +17,7 @@
 
 // Guards against a host that left with requests in its read buffer: they had
 // been read and got no answer.
-TEST_CASE("a draining server answers the requests read behind another one",
-          "[!mayfail]")
+TEST_CASE("a draining server answers the requests read behind another one")
 {
     server_fixture node;
     node.delay = GENERATE(milliseconds(0), milliseconds(20));
