Bound the bytes of all messages that a host holds

Cause and class: a bound for each piece of work and none for the host over all of them.

Change: memory_budget counts the bytes of answers while they arrive and while a session or connection holds them, against a quarter of the host's memoryMb. It is divided by a dynamic threshold: a replica may hold as much as is free, so that one replica alone gets half of it and there is room for another one however many there are. An answer over it ends as broken, with answer_exceeds_memory in the log. The answer of a health check is limited to 16 kB (16 MB before).

--- a/src/node/connection/caller_presence.hpp
+++ b/src/node/connection/caller_presence.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <utility>
 
 namespace basilpath
@@ -47,6 +48,12 @@
         this->id = std::move(decoded);
     }
 
+    /// Keeps `memory` until the answer has been sent.
+    void hold(std::shared_ptr<const void> memory)
+    {
+        this->held = std::move(memory);
+    }
+
     [[nodiscard]] bool disconnected() const
     {
         return this->disconnect_notified;
@@ -75,6 +82,7 @@
 
 private:
     request_id id;
+    std::shared_ptr<const void> held;
     std::chrono::microseconds inbound_delay;
     std::chrono::microseconds outbound_delay;
     bool disconnect_notified = false;
--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -28,9 +28,6 @@
 // retransmits a lost SYN only after a second, so a new attempt is faster.
 constexpr auto connect_timeout = 500ms;
 
-// A page of the store has at most about a megabyte.
-constexpr std::uint64_t max_response_bytes = 16'000'000;
-
 // Limit on buffered bytes that complete no element of a response, such as a
 // chunk header or a trailer: the parser does not bound those.
 constexpr std::size_t max_buffered_bytes = 65'536;
@@ -38,8 +35,10 @@
 } // namespace
 
 node_http_client::node_http_client(const asio::any_io_executor& executor,
-                                   http_address address)
-    : address(std::move(address)), stream(executor), buffer(max_buffered_bytes)
+                                   http_address address,
+                                   std::uint64_t max_body_bytes)
+    : address(std::move(address)), max_body_bytes(max_body_bytes),
+      stream(executor), buffer(max_buffered_bytes)
 {
 }
 
@@ -65,7 +64,7 @@
         co_return this->close_with_error("write: " + write_error.message());
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(max_response_bytes);
+    parser.body_limit(this->max_body_bytes);
     const auto [read_error, count] =
         co_await http::async_read(this->stream, this->buffer, parser,
                                   asio::as_tuple(asio::use_awaitable));
--- a/src/node/connection/http_client.hpp
+++ b/src/node/connection/http_client.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -19,9 +20,13 @@
 class node_http_client
 {
 public:
+    /// A page of the store has at most about a megabyte.
+    static constexpr std::uint64_t default_max_body_bytes = 16'000'000;
+
     /// `address` has the form `IP:PORT`.
     node_http_client(const boost::asio::any_io_executor& executor,
-                     http_address address);
+                     http_address address,
+                     std::uint64_t max_body_bytes = default_max_body_bytes);
 
     /// Sends GET `target`. Returns null when no complete response arrives
     /// within `timeout`; `last_error` then has the reason, and the connection
@@ -49,6 +54,7 @@
     std::optional<http_response> close_with_error(std::string reason);
 
     http_address address;
+    std::uint64_t max_body_bytes;
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::string error_text;
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -322,6 +322,10 @@
     const auto [error, count] = co_await http::async_write(
         this->socket, response, asio::as_tuple(asio::use_awaitable));
     this->sending = false;
+    if (this->caller)
+    {
+        this->caller->hold(nullptr);
+    }
     if (error)
     {
         log_event(log_level::info, "answer_not_sent",
--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/connection/target_codec.hpp"
+#include "node/process/memory_budget.hpp"
 #include "node/request/target_call.hpp"
 #include "process/instant.hpp"
 
@@ -39,8 +40,10 @@
         std::function<void(std::size_t)> bytes_transferred;
     };
 
+    /// Answers are held against the account of the replica.
     target_connection(const boost::asio::any_io_executor& executor,
                       const boost::asio::ip::tcp::endpoint& address,
+                      std::shared_ptr<memory_budget::account> memory,
                       callbacks handlers);
 
     /// Connects, then reads until the connection ends.
@@ -88,14 +91,19 @@
     bool parse();
     void parse_eof();
     bool finish_response();
+    bool charge_memory();
     void complete(target_result result);
     void start_parser();
     static instant now();
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::ip::tcp::endpoint address;
+    std::shared_ptr<memory_budget::account> memory;
     callbacks handlers;
     boost::beast::flat_buffer buffer;
+
+    /// The bytes of the answer that is being read.
+    std::shared_ptr<memory_charge> charge;
     std::optional<parser> response;
     std::shared_ptr<target_call> call;
     std::string request_bytes;
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -21,8 +21,7 @@
 inline constexpr std::size_t read_bytes = 8192;
 
 /// Limits on a response in bytes. Bodies are about 10 kB in the deployments.
-/// With these limits, fifty replicas that send endless responses at the same
-/// time use less than half of a host's 260 MB.
+/// `memory_budget` bounds all responses together.
 inline constexpr std::uint64_t body_limit = 2'000'000;
 inline constexpr std::uint32_t head_limit = 16'384;
 
@@ -31,6 +30,10 @@
 /// largest element that is buffered as a whole.
 inline constexpr std::size_t buffer_limit = head_limit + read_bytes;
 
+/// Bytes of a response that are read whatever memory is free, so that small
+/// answers arrive. Open connections bound the sum.
+inline constexpr std::size_t memory_allowance = buffer_limit;
+
 /// Used when the replica sends no Keep-Alive timeout.
 inline constexpr milliseconds default_keep_alive_timeout{4'000};
 
@@ -39,9 +42,10 @@
 template <target_codec Codec>
 target_connection<Codec>::target_connection(
     const boost::asio::any_io_executor& executor,
-    const boost::asio::ip::tcp::endpoint& address, callbacks handlers)
-    : socket(executor), address(address), handlers(std::move(handlers)),
-      idle_or_connecting_since(now()),
+    const boost::asio::ip::tcp::endpoint& address,
+    std::shared_ptr<memory_budget::account> memory, callbacks handlers)
+    : socket(executor), address(address), memory(std::move(memory)),
+      handlers(std::move(handlers)), idle_or_connecting_since(now()),
       replica_keep_alive(target_connection_limits::default_keep_alive_timeout)
 {
 }
@@ -148,6 +152,10 @@
             }
             continue;
         }
+        if (!this->charge_memory())
+        {
+            return false;
+        }
         if (parse_error == boost::beast::http::error::need_more)
         {
             return this->buffer.size() < target_connection_limits::buffer_limit;
@@ -160,6 +168,27 @@
     return true;
 }
 
+// Counts the bytes of the answer read so far. Returns false when the host has
+// no room for them.
+template <target_codec Codec>
+bool target_connection<Codec>::charge_memory()
+{
+    const std::size_t bytes =
+        this->response->get().body().capacity() + this->buffer.size();
+    if (this->charge->try_resize(bytes))
+    {
+        return true;
+    }
+    log_event(log_level::warning, "answer_exceeds_memory",
+              {{"request", this->call->query->id.value},
+               {"replica", this->call->to.value},
+               {"bytes", bytes},
+               {"held_by_replica", this->memory->held()},
+               {"held", this->memory->owner().held()},
+               {"limit", this->memory->owner().limit()}});
+    return false;
+}
+
 // Handles end of file: it completes a response that has no length.
 template <target_codec Codec>
 void target_connection<Codec>::parse_eof()
@@ -191,6 +220,8 @@
         return true; // Interim response; the final one follows.
     }
     target_reply reply = Codec::decode_reply(this->response->release());
+    this->charge->resize(reply.body.capacity());
+    reply.memory = this->charge;
     if (reply.echoed_request_id &&
         *reply.echoed_request_id != this->call->query->id)
     {
@@ -227,6 +258,7 @@
 void target_connection<Codec>::complete(target_result result)
 {
     const auto ended = std::exchange(this->call, nullptr);
+    this->charge.reset();
     this->idle_or_connecting_since = now();
     this->handlers.result(ended, std::move(result));
 }
@@ -234,6 +266,8 @@
 template <target_codec Codec>
 void target_connection<Codec>::start_parser()
 {
+    this->charge = std::make_shared<memory_charge>(
+        this->memory, target_connection_limits::memory_allowance);
     this->response.emplace();
     this->response->body_limit(target_connection_limits::body_limit);
     this->response->header_limit(target_connection_limits::head_limit);
--- a/src/node/process/health_check.hpp
+++ b/src/node/process/health_check.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -18,6 +19,9 @@
 
 inline constexpr milliseconds health_check_timeout{400};
 
+/// Limit of the body of a health check's answer, which is not used.
+inline constexpr std::uint64_t max_health_check_bytes = 16'384;
+
 /// Checks the health of a replica on a separate connection. Returns its reply
 /// with its load, or nothing when the replica is unhealthy, does not answer in
 /// time, or a different replica answers at its address.
@@ -26,7 +30,7 @@
 check_health(boost::asio::any_io_executor executor, replica target,
              std::string path)
 {
-    node_http_client client(executor, target.address);
+    node_http_client client(executor, target.address, max_health_check_bytes);
     auto response = co_await client.get(std::move(path), health_check_timeout);
     client.close();
     const bool good = response.has_value() &&
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -10,6 +10,7 @@
 #include "node/process/host_selection.hpp"
 #include "node/process/link_server.hpp"
 #include "node/process/member_list.hpp"
+#include "node/process/memory_budget.hpp"
 #include "node/process/node_identity.hpp"
 #include "node/process/node_settings.hpp"
 #include "node/process/peer_exchange.hpp"
@@ -93,6 +94,7 @@
     settings_source read_settings;
     real_runtime run;
     traffic_meter traffic;
+    std::shared_ptr<memory_budget> memory;
     pool targets;
     retry_budget repeats;
     slack_division slack;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -77,6 +77,17 @@
 inline constexpr milliseconds discovery_time{3'000};
 inline constexpr std::size_t assumed_hosts = 8;
 
+/// Part of a host's memory that messages may hold. The allocator needs up to
+/// as much again, as it grows a body by copying it; the rest is for the view of
+/// the store and for the small messages that are always admitted.
+inline constexpr double message_memory_fraction = 0.25;
+
+inline std::size_t message_memory(const node_settings& settings)
+{
+    return static_cast<std::size_t>(settings.memory_bytes *
+                                    message_memory_fraction);
+}
+
 } // namespace node_bounds
 
 template <class Adapter>
@@ -84,8 +95,10 @@
                     settings_source source)
     : context(context), settings(std::move(initial)), last_read(this->settings),
       read_settings(std::move(source)), run(context, std::random_device{}()),
+      memory(std::make_shared<memory_budget>(
+          node_bounds::message_memory(this->settings))),
       targets(context, this->settings.domain, this->settings.peers,
-              this->traffic),
+              this->traffic, this->memory),
       repeats({this->settings.repeat_ratio, this->settings.repeat_slack,
                this->settings.repeat_window}),
       slack(this->settings.callers,
@@ -176,8 +189,10 @@
     const auto query = std::make_shared<const caller_query>(Adapter::query(
         std::move(*request), to_instant(std::chrono::steady_clock::now())));
     presence->set_request(query->id);
+    const auto connection = presence;
     const caller_reply reply =
         co_await this->queries.answer(query, std::move(presence));
+    connection->hold(reply.memory);
     co_return Adapter::reply(reply);
 }
 
@@ -211,6 +226,8 @@
     stats.store_calls = this->store.calls();
     stats.datagrams_sent = this->peers.sent();
     stats.log_lines_dropped = dropped_log_lines();
+    stats.message_bytes = static_cast<double>(this->memory->held());
+    stats.message_bytes_refused = this->memory->refused();
     stats.requests_not_logged = this->requests.dropped();
     stats.live_hosts = static_cast<double>(this->members.live().size());
     stats.replicas = static_cast<double>(this->targets.replica_count());
@@ -269,6 +286,7 @@
     this->peers.set_seeds(loaded->seeds);
     this->repeats.set_bound(
         {loaded->repeat_ratio, loaded->repeat_slack, loaded->repeat_window});
+    this->memory->set_bound(node_bounds::message_memory(*loaded));
     this->update_shares();
     log_event(log_level::info, "reloaded",
               {{"addresses_need_restart", addresses_changed}});
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -52,6 +52,9 @@
     this->raise_counter("basilpath_node_requests_not_logged_total",
                         "Failed requests not logged, to bound the volume.",
                         stats.requests_not_logged);
+    this->raise_counter("basilpath_node_message_memory_refused_total",
+                        "Messages for which the bound left no room.",
+                        stats.message_bytes_refused);
     for (std::size_t i = 0; i < traffic_purpose_names.size(); ++i)
     {
         counter& exposed = this->registry.add_counter(
@@ -91,6 +94,9 @@
           stats.view_age_seconds);
     gauge("basilpath_node_caller_connections", "Open connections of callers.",
           stats.connections);
+    gauge("basilpath_node_message_bytes",
+          "Bytes of messages that are held against the bound for the host.",
+          stats.message_bytes);
     const process_usage usage = read_process_usage();
     gauge("basilpath_node_cpu_seconds", "Processor time used.",
           usage.cpu_seconds);
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -21,6 +21,8 @@
     std::uint64_t datagrams_sent = 0;
     std::uint64_t log_lines_dropped = 0;
     std::uint64_t requests_not_logged = 0;
+    std::uint64_t message_bytes_refused = 0;
+    double message_bytes = 0;
     double live_hosts = 0;
     double replicas = 0;
     double limited_replicas = 0;
--- a/src/node/process/node_settings.cpp
+++ b/src/node/process/node_settings.cpp
@@ -17,6 +17,7 @@
     this->replica_drain_timeout = other.replica_drain_timeout;
     this->directory_max_age = other.directory_max_age;
     this->domains = other.domains;
+    this->memory_bytes = other.memory_bytes;
     this->seeds = other.seeds;
     this->repeat_ratio = other.repeat_ratio;
     this->repeat_slack = other.repeat_slack;
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -69,6 +69,9 @@
     /// CPU share of this host, in cores.
     double processor_share = 1.0;
 
+    /// Memory limit of this host in bytes.
+    double memory_bytes = 260e6;
+
     /// Bandwidth of the host's link in Mbit/s.
     double link_mbps = 1000.0;
 
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -168,7 +168,8 @@
                                std::move(result.reply.body),
                                {},
                                {},
-                               {}};
+                               {},
+                               std::move(result.reply.memory)};
     case forward_end::not_run:
         if (this->stopping())
         {
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -4,6 +4,7 @@
 #include "node/connection/target_connection.hpp"
 #include "node/process/call_queue.hpp"
 #include "node/process/limit_bucket.hpp"
+#include "node/process/memory_budget.hpp"
 #include "node/process/replica_health.hpp"
 #include "node/version/replica.hpp"
 
@@ -37,6 +38,9 @@
 
     replica target;
     replica_health health;
+
+    /// Bytes of this replica's answers.
+    std::shared_ptr<memory_budget::account> memory;
     std::vector<std::shared_ptr<connection>> connections;
     call_queue waiting;
 
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -4,6 +4,7 @@
 #include "node/process/demand_meter.hpp"
 #include "node/process/limit_shares.hpp"
 #include "node/process/limited_sends.hpp"
+#include "node/process/memory_budget.hpp"
 #include "node/process/named_limits.hpp"
 #include "node/process/placement.hpp"
 #include "node/process/replica_entry.hpp"
@@ -35,8 +36,11 @@
 class target_pool
 {
 public:
-    target_pool(boost::asio::io_context& context, failure_domain domain,
-                peer_address own_address, traffic_meter& traffic);
+    target_pool(
+        boost::asio::io_context& context, failure_domain domain,
+        peer_address own_address, traffic_meter& traffic,
+        std::shared_ptr<memory_budget> memory =
+            std::make_shared<memory_budget>(memory_budget::default_bound));
 
     /// Sets the callback for failed attempts to connect to a replica.
     void on_connect_failed(
@@ -165,6 +169,7 @@
     boost::asio::io_context& context;
     failure_domain own_domain;
     traffic_meter& traffic;
+    std::shared_ptr<memory_budget> memory;
     replica_list<entry> replicas;
     route_latencies latencies;
     named_limits limits;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -36,9 +36,10 @@
 template <target_codec Codec>
 target_pool<Codec>::target_pool(boost::asio::io_context& context,
                                 failure_domain domain, peer_address own_address,
-                                traffic_meter& traffic)
+                                traffic_meter& traffic,
+                                std::shared_ptr<memory_budget> memory)
     : context(context), own_domain(std::move(domain)), traffic(traffic),
-      shares(std::move(own_address))
+      memory(std::move(memory)), shares(std::move(own_address))
 {
 }
 
@@ -64,6 +65,7 @@
     const auto made = std::make_shared<entry>(
         entry{one,
               replica_health(one.slots, one.warmup, now()),
+              std::make_shared<memory_budget::account>(this->memory),
               {},
               {},
               {},
@@ -226,8 +228,9 @@
             this->traffic.add(traffic_purpose::calls, bytes);
         }
     };
-    const auto opened = std::make_shared<connection>(
-        this->context.get_executor(), *address, std::move(handlers));
+    const auto opened =
+        std::make_shared<connection>(this->context.get_executor(), *address,
+                                     one->memory, std::move(handlers));
     one->connections.push_back(opened);
     boost::asio::co_spawn(this->context, opened->run(), boost::asio::detached);
 }
--- a/src/node/request/caller_query.hpp
+++ b/src/node/request/caller_query.hpp
@@ -5,6 +5,7 @@
 #include "version/ids.hpp"
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,6 +13,8 @@
 namespace basilpath
 {
 
+class memory_charge;
+
 /// A header that is passed on unchanged.
 struct message_header
 {
@@ -74,6 +77,9 @@
 
     /// Number of missing shards in an answer over shards.
     std::optional<std::size_t> missing_parts;
+
+    /// The bytes of the body against the host's bound; may be null.
+    std::shared_ptr<const memory_charge> memory = nullptr;
 };
 
 } // namespace basilpath
--- a/src/node/request/subquery_session.hpp
+++ b/src/node/request/subquery_session.hpp
@@ -78,6 +78,7 @@
     /// Parts that have arrived and are not reported yet, and their records.
     std::vector<reported_part> parts;
     std::vector<std::string> bodies;
+    std::vector<std::shared_ptr<const memory_charge>> bodies_memory;
 
     /// The greatest records reported so far.
     std::string reported_records;
--- a/src/node/request/subquery_session.ipp
+++ b/src/node/request/subquery_session.ipp
@@ -152,6 +152,7 @@
         }
         this->parts.push_back({shard, std::move(reply.signature)});
         this->bodies.push_back(std::move(reply.body));
+        this->bodies_memory.push_back(std::move(reply.memory));
         if (this->asked.separate_reports)
         {
             this->report_parts(false);
@@ -226,6 +227,7 @@
             merge_records({this->reported_records, new_records}, max_records);
     }
     this->bodies.clear();
+    this->bodies_memory.clear();
     return new_records;
 }
 
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -15,6 +15,8 @@
 namespace basilpath
 {
 
+class memory_charge;
+
 /// Load that a replica reports with an answer; outdated by the time it arrives.
 struct replica_load
 {
@@ -36,6 +38,9 @@
     std::vector<message_header> headers;
     std::string body;
 
+    /// The bytes of the body against the host's bound; may be null.
+    std::shared_ptr<const memory_charge> memory;
+
     /// The replica's signature of this answer; empty when there is none.
     std::string signature;
 
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -1,6 +1,4 @@
-#include "leaf_codec.hpp"
-#include "node/process/target_pool.ipp"
-#include "raw_server.hpp"
+#include "target_pool_fixture.hpp"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -15,83 +13,6 @@
 using namespace basilpath::test;
 using namespace std::chrono_literals;
 
-/// A pool with one replica, which is a scripted server on loopback.
-struct pool_fixture
-{
-    explicit pool_fixture(raw_server::behaviour behave)
-        : server(context, std::move(behave)),
-          pool(context, failure_domain("a"), peer_address("a:1"), traffic)
-    {
-        this->pool.start();
-        this->pool.set_serving_hosts(1, true);
-        this->pool.set_routes(std::make_shared<const route_table>(
-            document_number(1), std::vector<route>{},
-            std::map<service_name, service_rule>{
-                {service_name("s"), {"/health", 5}}},
-            caller_limits{}));
-        replica one;
-        one.id = leaf_id("i-1");
-        one.service = service_name("s");
-        one.address = http_address(this->server.address());
-        one.slots = 4;
-        this->pool.set_replica(one);
-    }
-
-    std::shared_ptr<target_call> start(const std::string& id,
-                                       bool needs_fresh_connection = false,
-                                       microseconds timeout = 2s)
-    {
-        auto query = std::make_shared<caller_query>();
-        query->method = "GET";
-        query->target = "/x";
-        query->id = request_id(id);
-        query->headers = {{"Host", "h"}, {"X-Request-Id", id}};
-        auto call = std::make_shared<target_call>();
-        call->query = query;
-        call->to = leaf_id("i-1");
-        call->route = "r";
-        call->needs_fresh_connection = needs_fresh_connection;
-        call->deadline = to_instant(std::chrono::steady_clock::now()) + timeout;
-        call->soft_deadline = call->deadline;
-        call->done = [this](target_result result)
-        {
-            this->results.push_back(std::move(result));
-        };
-        this->pool.send(call);
-        return call;
-    }
-
-    // Runs until there are this many results, for a few seconds at most.
-    void await_results(std::size_t count)
-    {
-        this->run([this, count] { return this->results.size() >= count; });
-    }
-
-    template <class Condition>
-    void run(Condition done)
-    {
-        for (int i = 0; i < 5000 && !done(); ++i)
-        {
-            this->context.run_for(2ms);
-        }
-    }
-
-    boost::asio::io_context context;
-    raw_server server;
-    traffic_meter traffic;
-    target_pool<platform::leaf_codec> pool;
-    std::vector<target_result> results;
-};
-
-std::string answer(const std::string& body, const std::string& id = "",
-                   const std::string& more = "")
-{
-    return fmt::format("HTTP/1.1 200 OK\r\nX-Response-Signature: sig\r\n{}{}"
-                       "Content-Length: {}\r\n\r\n{}",
-                       id.empty() ? "" : "X-Request-Id: " + id + "\r\n", more,
-                       body.size(), body);
-}
-
 TEST_CASE("consecutive calls are answered on one connection")
 {
     pool_fixture node([](const std::string&, std::size_t)
