Read nothing while an answer is delivered, and keep its connection

A caller whose kernel has the answer and that reads it later can still find the connection closed: open. - Where the kernel does not report unacknowledged bytes, the connection is closed 100 ms after the answer instead of at once.

--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -14,7 +14,6 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <exception>
 #include <string>
@@ -40,12 +39,14 @@
 constexpr milliseconds first_request_time{200};
 
 // Longest time for which a connection that ends waits until the caller has
-// received what was sent, and the period of the check.
+// received what was sent, the time for which it waits when the kernel does not
+// report that, and the period of the check.
 constexpr milliseconds max_delivery_time{2'000};
 constexpr milliseconds delivery_check_interval{20};
 
-// Limit of the bytes that are discarded in each check.
-constexpr std::size_t max_discarded_bytes = 65'536;
+constexpr milliseconds unknown_delivery_time{100};
+// Longest time by which the acknowledgement of received bytes is delayed.
+constexpr milliseconds max_acknowledgement_delay{200};
 
 instant now()
 {
@@ -117,7 +118,6 @@
         }
     }
     this->answering = false;
-    this->log_unread();
     co_await this->await_delivery();
     this->close();
 }
@@ -133,14 +133,21 @@
     if (time - this->waiting_since > limit)
     {
         this->end_read();
+    this->log_unread();
     }
 }
 
 void http_session::close_if_idle()
 {
-    const bool request_expected =
-        !this->used && now() - this->waiting_since < first_request_time;
-    if (!this->answering && !this->reading && !request_expected)
+    const microseconds waited = now() - this->waiting_since;
+    const bool request_expected = !this->used && waited < first_request_time;
+    // A caller that has not received the last answer may send its next request
+    // without having learned that the connection closes.
+    const bool answer_undelivered =
+        waited > max_acknowledgement_delay &&
+        unacknowledged_bytes(this->socket).value_or(0) > 0;
+    if (!this->answering && !this->reading && !request_expected &&
+        !answer_undelivered)
     {
         this->end_read();
     }
@@ -371,46 +378,28 @@
         });
 }
 
-// Waits until the caller has received what was sent, or for a limited time, and
-// discards what arrives meanwhile: closing a socket with unread bytes resets
-// the connection, and a reset discards what has not been delivered.
+// Waits until the caller has received what was sent, or for a limited time:
+// closing a socket with unread bytes resets the connection, and a reset
+// discards what has not been delivered. Reads nothing meanwhile, as a request
+// that has been read must be answered.
 asio::awaitable<void> http_session::await_delivery()
 {
-    if (unacknowledged_bytes(this->socket) == 0)
-    {
-        co_return;
-    }
-    boost::system::error_code error;
-    this->socket.non_blocking(true, error);
-    if (error)
+    const auto outstanding = unacknowledged_bytes(this->socket);
+    if (outstanding == 0u)
     {
         co_return;
     }
-    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     asio::steady_timer timer(this->socket.get_executor());
-    const instant deadline = now() + max_delivery_time;
-    while (!error && unacknowledged_bytes(this->socket) > 0 && now() < deadline)
+    const instant deadline =
+        now() + (outstanding ? max_delivery_time : unknown_delivery_time);
+    while (this->socket.is_open() && unacknowledged_bytes(this->socket) != 0u &&
+           now() < deadline)
     {
-        error = this->discard_unread();
         timer.expires_after(delivery_check_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    this->discard_unread();
-}
-
-// Returns the error that ended the connection, if any.
-boost::system::error_code http_session::discard_unread()
-{
-    std::array<char, read_bytes> chunk{};
-    std::size_t discarded = 0;
-    boost::system::error_code error;
-    while (!error && discarded < max_discarded_bytes)
-    {
-        discarded += this->socket.read_some(asio::buffer(chunk), error);
-    }
-    const bool open =
-        error == asio::error::would_block || error == asio::error::eof;
-    return open ? boost::system::error_code() : error;
 }
 
 void http_session::close()
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -53,7 +53,8 @@
     void close_if_expired(instant now);
 
     /// Closes the connection unless a request is being read or answered, has
-    /// arrived, or is likely on its way on a new connection.
+    /// arrived, or is likely on its way on a new connection, or the caller has
+    /// not received the last answer.
     void close_if_idle();
 
     /// Closes the connection at once.
@@ -78,7 +79,6 @@
     [[nodiscard]] std::size_t buffer_limit() const;
     boost::asio::awaitable<bool> read_request(parser& request);
     boost::asio::awaitable<void> await_delivery();
-    boost::system::error_code discard_unread();
     void end_read();
     [[nodiscard]] bool must_end() const;
     boost::asio::awaitable<void> await_answer();
--- a/src/node/connection/socket_options.cpp
+++ b/src/node/connection/socket_options.cpp
@@ -34,11 +34,16 @@
     return microseconds(failed != 0 ? 0 : info.tcpi_rtt);
 }
 
-std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket& socket)
+std::optional<std::size_t>
+unacknowledged_bytes(boost::asio::ip::tcp::socket& socket)
 {
     int bytes = 0;
     const int failed = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes);
-    return failed != 0 || bytes < 0 ? 0 : static_cast<std::size_t>(bytes);
+    if (failed != 0 || bytes < 0)
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(bytes);
 }
 
 } // namespace basilpath
--- a/src/node/connection/socket_options.hpp
+++ b/src/node/connection/socket_options.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <optional>
 
 namespace basilpath
 {
@@ -21,8 +22,8 @@
 [[nodiscard]] microseconds round_trip(boost::asio::ip::tcp::socket& socket);
 
 /// Returns the number of bytes that were written and that the peer has not
-/// acknowledged; zero when the kernel does not report it.
-[[nodiscard]] std::size_t
+/// acknowledged; nothing when the kernel does not report it.
+[[nodiscard]] std::optional<std::size_t>
 unacknowledged_bytes(boost::asio::ip::tcp::socket& socket);
 
 } // namespace basilpath
