Count only bytes beyond the allowance against the memory for messages

Allowances are bounded by the descriptors of the process (3,900 sockets, 96 MB) and no longer count.

--- a/src/node/process/memory_budget.cpp
+++ b/src/node/process/memory_budget.cpp
@@ -28,8 +28,8 @@
 
 bool memory_charge::try_resize(std::size_t total)
 {
-    if (total > this->bytes && total > this->allowance &&
-        !this->holder->may_take(total - this->bytes))
+    const std::size_t wanted = this->beyond_allowance(total);
+    if (wanted > this->bytes && !this->holder->may_take(wanted - this->bytes))
     {
         return false;
     }
@@ -39,15 +39,16 @@
 
 void memory_charge::resize(std::size_t total)
 {
-    if (total > this->bytes)
+    const std::size_t wanted = this->beyond_allowance(total);
+    if (wanted > this->bytes)
     {
-        this->holder->take(total - this->bytes);
+        this->holder->take(wanted - this->bytes);
     }
     else
     {
-        this->holder->release(this->bytes - total);
+        this->holder->release(this->bytes - wanted);
     }
-    this->bytes = total;
+    this->bytes = wanted;
 }
 
 } // namespace basilpath
--- a/src/node/process/memory_budget.hpp
+++ b/src/node/process/memory_budget.hpp
@@ -9,10 +9,10 @@
 namespace basilpath
 {
 
-/// Bytes held by all messages of the host together, against one bound. Divided
-/// by a dynamic threshold, as in shared-memory switches: a holder, for instance
-/// a replica, may hold as much as is free. One holder alone gets half of the
-/// bound, and there is always room for another one, however many there are.
+/// Bytes held by the messages of a host beyond a small allowance for each,
+/// against one bound. Divided by a dynamic threshold, as in shared-memory
+/// switches: a holder, for instance a replica, may hold as much as is free. One
+/// holder alone gets half of the bound, n holders each get 1 / (n + 1) of it.
 class memory_budget
 {
 public:
@@ -98,7 +98,7 @@
 class memory_charge
 {
 public:
-    /// The first `allowance` bytes are taken whatever is free.
+    /// The first `allowance` bytes do not count against the bound.
     memory_charge(std::shared_ptr<memory_budget::account> holder,
                   std::size_t allowance)
         : holder(std::move(holder)), allowance(allowance)
@@ -120,12 +120,18 @@
     /// Changes the bytes of the message whatever is free.
     void resize(std::size_t total);
 
+    /// Returns the bytes that count against the bound.
     [[nodiscard]] std::size_t size() const
     {
         return this->bytes;
     }
 
 private:
+    [[nodiscard]] std::size_t beyond_allowance(std::size_t total) const
+    {
+        return total > this->allowance ? total - this->allowance : 0;
+    }
+
     std::shared_ptr<memory_budget::account> holder;
     std::size_t allowance;
     std::size_t bytes = 0;
