Give up an answer that its caller does not read

An answer of which the kernel takes no byte for the idle timeout of the configuration is given up (answer_not_sent); one that is read slowly is not.

--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -138,6 +139,11 @@
 }
 
 void http_session::close_if_idle()
+    if (this->sending &&
+        time - this->waiting_since > this->server->limits.idle_timeout)
+    {
+        this->close();
+    }
 {
     const microseconds waited = now() - this->waiting_since;
     const bool request_expected = !this->used && waited < first_request_time;
@@ -326,8 +332,14 @@
     response.prepare_payload();
     const bool keep = response.keep_alive();
     this->sending = true;
-    const auto [error, count] = co_await http::async_write(
-        this->socket, response, asio::as_tuple(asio::use_awaitable));
+    while (!error && !serializer.is_done())
+    {
+        this->waiting_since = now();
+        const auto [failure, count] = co_await http::async_write_some(
+            this->socket, serializer, asio::as_tuple(asio::use_awaitable));
+        error = failure;
+        sent += count;
+    }
     this->sending = false;
     if (this->caller)
     {
@@ -339,7 +351,7 @@
                   {{"request", this->current_request()},
                    {"status", response.result_int()},
                    {"bytes", response.body().size()},
-                   {"sent_bytes", count},
+                   {"sent_bytes", sent},
                    {"reason", error.message()}});
     }
     co_return !error && keep;
@@ -356,6 +368,9 @@
     co_await this->write(std::move(response));
 }
 
+    http::response_serializer<http::string_body> serializer(response);
+    boost::system::error_code error;
+    std::size_t sent = 0;
 void http_session::start_handler(std::shared_ptr<http_request> request)
 {
     const microseconds trip = round_trip(this->socket);
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -48,8 +48,9 @@
     boost::asio::awaitable<void> run();
 
     /// Closes the connection when it has exceeded the idle timeout, or the
-    /// header timeout while a request is being read. An idle connection on
-    /// which a request has arrived serves it first.
+    /// header timeout while a request is being read, or when the caller has
+    /// taken no part of an answer for as long as the idle timeout. An idle
+    /// connection on which a request has arrived serves it first.
     void close_if_expired(instant now);
 
     /// Closes the connection unless a request is being read or answered, has
--- a/test/node_http_stop_test.cpp
+++ b/test/node_http_stop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -67,4 +68,36 @@
     CHECK(received.ends_with(expected));
 }
 
+// Guards against callers that do not read: each held its answer for ever.
+TEST_CASE("an answer that its caller does not read is given up, one that is "
+          "read slowly is not")
+{
+    const bool reads = GENERATE(false, true);
+    server_fixture node;
+    caller_limits limits;
+    limits.idle_timeout = milliseconds(1'000);
+    node.server.set_limits(limits);
+    node.padding = std::string(20'000'000, 'x');
+    node.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    node.receive([&node] { return node.handled_requests == 1; });
+    // The times of the checks are given: each is after the last one.
+    const instant begin = to_instant(std::chrono::steady_clock::now());
+    node.context.run_for(20ms);
+    node.server.close_expired(begin);
+    CHECK(node.server.connection_count() == 1);
+    if (reads)
+    {
+        node.receive([&node] { return node.received.size() > 10'000'000; });
+        node.server.close_expired(to_instant(std::chrono::steady_clock::now()) +
+                                  500ms);
+        node.receive([&node] { return node.received.size() > 20'000'000; });
+        CHECK(node.received.size() > 20'000'000);
+        return;
+    }
+    node.server.close_expired(to_instant(std::chrono::steady_clock::now()) +
+                              2s);
+    node.context.run_for(20ms);
+    CHECK(node.server.busy_count() == 0);
+}
+
 } // namespace
