Bound the bytes of callers' requests with those of answers

Bodies are counted against the memory for messages, all callers as one holder; a body that finds no room is refused as not run, 503 with Retry-After. request_rejected replaces request_malformed in the log, as it has the reason.

--- a/src/node/connection/http_server.cpp
+++ b/src/node/connection/http_server.cpp
@@ -101,6 +101,12 @@
     asio::co_spawn(executor, this->self->sweep(), asio::detached);
 }
 
+void node_http_server::set_memory(
+    std::shared_ptr<memory_budget::account> holder)
+{
+    this->self->state->memory = std::move(holder);
+}
+
 void node_http_server::set_limits(const caller_limits& limits)
 {
     this->self->state->limits = limits;
--- a/src/node/connection/http_server.hpp
+++ b/src/node/connection/http_server.hpp
@@ -33,6 +33,9 @@
     /// Starts accepting connections.
     void start();
 
+    /// Sets the account that holds later requests.
+    void set_memory(std::shared_ptr<memory_budget::account> holder);
+
     /// Sets the limits of later requests.
     void set_limits(const caller_limits& limits);
 
--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -18,6 +18,7 @@
 #include <chrono>
 #include <exception>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace basilpath
@@ -43,9 +44,9 @@
 // received what was sent, the time for which it waits when the kernel does not
 // report that, and the period of the check.
 constexpr milliseconds max_delivery_time{2'000};
+constexpr milliseconds unknown_delivery_time{100};
 constexpr milliseconds delivery_check_interval{20};
 
-constexpr milliseconds unknown_delivery_time{100};
 // Longest time by which the acknowledgement of received bytes is delayed.
 constexpr milliseconds max_acknowledgement_delay{200};
 
@@ -54,9 +55,21 @@
     return to_instant(std::chrono::steady_clock::now());
 }
 
-// Maps a parse error to the HTTP status of the response.
+// Bytes of a request that are read whatever memory is free. Open connections
+// bound the sum.
+constexpr std::size_t memory_allowance = 8'192;
+
+// Time after which a caller whose request found no memory may send it again.
+constexpr std::string_view retry_after_seconds = "0.5";
+
+// Maps the reason why a request cannot be read to the HTTP status of the
+// response.
 http::status status_of(const boost::system::error_code& why)
 {
+    if (why == boost::system::errc::not_enough_memory)
+    {
+        return http::status::service_unavailable;
+    }
     if (why == http::error::header_limit)
     {
         return http::status::request_header_fields_too_large;
@@ -120,11 +133,17 @@
     }
     this->answering = false;
     co_await this->await_delivery();
+    this->log_unread();
     this->close();
 }
 
 void http_session::close_if_expired(instant time)
 {
+    if (this->sending &&
+        time - this->waiting_since > this->server->limits.idle_timeout)
+    {
+        this->close();
+    }
     if (this->answering)
     {
         return;
@@ -134,16 +153,10 @@
     if (time - this->waiting_since > limit)
     {
         this->end_read();
-    this->log_unread();
     }
 }
 
 void http_session::close_if_idle()
-    if (this->sending &&
-        time - this->waiting_since > this->server->limits.idle_timeout)
-    {
-        this->close();
-    }
 {
     const microseconds waited = now() - this->waiting_since;
     const bool request_expected = !this->used && waited < first_request_time;
@@ -240,6 +253,10 @@
 {
     this->reading = this->buffer.size() > 0;
     this->waiting_since = now();
+    this->charge = this->server->memory
+                       ? std::make_shared<memory_charge>(this->server->memory,
+                                                         memory_allowance)
+                       : nullptr;
     boost::system::error_code failure;
     while (!request.is_done())
     {
@@ -257,6 +274,11 @@
             {
                 failure = http::error::header_limit;
             }
+            if (!this->charge_memory(request))
+            {
+                failure =
+                    make_error_code(boost::system::errc::not_enough_memory);
+            }
             if (failure && failure != http::error::need_more)
             {
                 co_await this->reject(failure);
@@ -292,6 +314,15 @@
     co_return true;
 }
 
+// Counts the bytes of the request read so far. Returns false when the host has
+// no room for them.
+bool http_session::charge_memory(const parser& request)
+{
+    return !this->charge ||
+           this->charge->try_resize(request.get().body().capacity() +
+                                    this->buffer.size());
+}
+
 // Keeps reading while the handler runs: end of file or an error means that the
 // caller has disconnected; further bytes belong to the next request.
 asio::awaitable<void> http_session::await_answer()
@@ -331,6 +362,9 @@
 {
     response.prepare_payload();
     const bool keep = response.keep_alive();
+    http::response_serializer<http::string_body> serializer(response);
+    boost::system::error_code error;
+    std::size_t sent = 0;
     this->sending = true;
     while (!error && !serializer.is_done())
     {
@@ -362,21 +396,23 @@
     http_response response(status_of(why), 11);
     response.keep_alive(false);
     response.set(http::field::content_type, "text/plain");
-    response.body() = "malformed request: " + why.message() + "\n";
-    log_event(log_level::warning, "request_malformed",
+    response.body() = "request not read: " + why.message() + "\n";
+    if (response.result() == http::status::service_unavailable)
+    {
+        response.set(http::field::retry_after, retry_after_seconds);
+    }
+    log_event(log_level::warning, "request_rejected",
               {{"reason", why.message()}, {"status", response.result_int()}});
     co_await this->write(std::move(response));
 }
 
-    http::response_serializer<http::string_body> serializer(response);
-    boost::system::error_code error;
-    std::size_t sent = 0;
 void http_session::start_handler(std::shared_ptr<http_request> request)
 {
     const microseconds trip = round_trip(this->socket);
     const bool connected_anew = !std::exchange(this->used, true);
     this->caller = std::make_shared<caller_presence>(
         trip / 2 + (connected_anew ? trip : microseconds(0)), trip / 2);
+    this->caller->hold(std::exchange(this->charge, nullptr));
     const auto self = this->shared_from_this();
     asio::co_spawn(
         this->socket.get_executor(),
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/caller_presence.hpp"
 #include "node/connection/http_types.hpp"
+#include "node/process/memory_budget.hpp"
 #include "node/version/route_table.hpp"
 #include "process/instant.hpp"
 
@@ -33,7 +34,11 @@
     http_handler handler;
     caller_limits limits;
 
-    /// Whether responses announce that the connection closes.
+    /// Holds the requests of callers; null to leave them uncounted.
+    std::shared_ptr<memory_budget::account> memory;
+
+    /// Whether responses announce that the connection closes, unless another
+    /// request has arrived.
     bool draining = false;
 };
 
@@ -79,6 +84,7 @@
 
     [[nodiscard]] std::size_t buffer_limit() const;
     boost::asio::awaitable<bool> read_request(parser& request);
+    bool charge_memory(const parser& request);
     boost::asio::awaitable<void> await_delivery();
     void end_read();
     [[nodiscard]] bool must_end() const;
@@ -93,6 +99,9 @@
     boost::asio::ip::tcp::socket socket;
     std::shared_ptr<http_server_state> server;
     boost::beast::flat_buffer buffer;
+
+    /// The bytes of the request that is being read; null if not counted.
+    std::shared_ptr<memory_charge> charge;
     std::shared_ptr<caller_presence> caller;
 
     /// The handler's response; null until the handler has finished.
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -135,6 +135,8 @@
                        const std::shared_ptr<caller_presence>&)
                 { return this->answer_directory(std::move(request)); })
 {
+    this->callers.set_memory(
+        std::make_shared<memory_budget::account>(this->memory));
     if (!this->settings.metrics.value.empty())
     {
         this->metrics_server.emplace(
@@ -189,10 +191,10 @@
     const auto query = std::make_shared<const caller_query>(Adapter::query(
         std::move(*request), to_instant(std::chrono::steady_clock::now())));
     presence->set_request(query->id);
-    const auto connection = presence;
+    const auto caller = presence;
     const caller_reply reply =
         co_await this->queries.answer(query, std::move(presence));
-    connection->hold(reply.memory);
+    caller->hold(reply.memory);
     co_return Adapter::reply(reply);
 }
 
