Answer before the process ends when it was paused over the end of its stop

What callers saw: a host that stops and whose process does not run when its requests are due to be answered ended without answering them.

Cause: the loop of node::drain() ended at a fixed time, 5.6 s after SIGTERM with graceS 6. The timer of that loop is due every 50 ms, so after a pause it expires before the sessions' timers of 5.3 s and their answers are never sent.

Fix: the time to send the last answers begins when drain() notices that they are due. It ends 0.1 s before graceS at the latest, and one check later if that time has passed already. `stopped late_ms=` tells how late it was noticed.

--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -43,6 +43,9 @@
 /// Part of the reserved time in which the last answers are sent.
 inline constexpr milliseconds answer_flush_time{300};
 
+/// Time before the forced end by which the process ends by itself.
+inline constexpr milliseconds min_exit_time{100};
+
 /// How often a leaving host checks whether it can end.
 inline constexpr milliseconds drain_interval{50};
 
@@ -294,7 +297,9 @@
 
 // Keeps serving until callers stop using this host, then closes idle
 // connections, refuses requests and waits for those in progress. They are
-// answered before the forced end, whatever they wait for.
+// answered before the forced end, whatever they wait for. The time to send the
+// last answers begins when their due time is noticed, as the process may not
+// have run when it came.
 template <class Adapter>
 boost::asio::awaitable<void> node<Adapter>::drain()
 {
@@ -311,16 +316,19 @@
         to_instant(
             std::min(started + node_bounds::min_drain_time, answers_due)),
         to_instant(answers_due));
-    const auto end = answers_due + node_bounds::answer_flush_time;
+    const auto last_end =
+        started + this->settings.shutdown_timeout - node_bounds::min_exit_time;
+    std::optional<std::chrono::steady_clock::time_point> flush_end;
+    milliseconds late{0};
     boost::asio::steady_timer timer(this->context);
-    while (std::chrono::steady_clock::now() < end)
+    while (true)
     {
         timer.expires_after(node_bounds::drain_interval);
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
+        const auto time = std::chrono::steady_clock::now();
         const bool past_drain_time =
-            std::chrono::steady_clock::now() - started >
-            node_bounds::min_drain_time;
+            time - started > node_bounds::min_drain_time;
         if (past_drain_time)
         {
             this->callers.stop_accepting();
@@ -331,6 +339,16 @@
         {
             break;
         }
+        if (flush_end && time >= *flush_end)
+        {
+            break;
+        }
+        if (!flush_end && time >= answers_due)
+        {
+            flush_end =
+                std::min(time + node_bounds::answer_flush_time, last_end);
+            late = std::chrono::duration_cast<milliseconds>(time - answers_due);
+        }
     }
     const auto ended = std::chrono::steady_clock::now();
     this->callers.log_unfinished();
@@ -341,10 +359,7 @@
          {"connections", this->callers.connection_count()},
          {"took_ms",
           std::chrono::duration_cast<milliseconds>(ended - started).count()},
-         {"late_ms",
-          std::max<std::int64_t>(
-              0,
-              std::chrono::duration_cast<milliseconds>(ended - end).count())}});
+         {"late_ms", late.count()}});
     flush_log();
 }
 
