Soak of stops: hosts that serve the queries of others stop

In delegate_stops and both_stop all shards are in the zone of the host that stops, as callers of the other zone are served by delegates only then; before, each zone had replicas of each shard and no query was delegated.

--- a/soak/stops.py
+++ b/soak/stops.py
@@ -58,6 +58,14 @@
 class StopNode(Node):
     """A host whose signals leave it to the loop to collect the exit code."""
 
+    async def start(self, first=False):
+        await super().start(first)
+        self.watch = asyncio.create_task(self._note_end())
+
+    async def _note_end(self):
+        await self.process.wait()
+        self.ended = time.monotonic()
+
     def signal(self, number):
         if self.is_running:
             with contextlib.suppress(ProcessLookupError):
@@ -73,6 +81,7 @@
         self.net = 64 + (self.net - 64 + index) % 128
         self.store = Store(f"127.{self.net}.9.1")
         self.pauses, self.ends = [], []
+        self.shard_zones = SCENARIOS[name].shard_zones
 
     def report_violation(self, promise, what):
         self.violations.append((promise, what))
@@ -114,7 +123,8 @@
     async def build(self):
         await self.store.start()
         for service in [f"s{n}" for n in range(SHARDS)] + ["one", "lookup", "hang", "big"]:
-            for zone in "abab" if service in ("one", "lookup") else "ab":
+            zones = "abab" if service in ("one", "lookup") else "ab"
+            for zone in self.shard_zones if service.startswith("s") else zones:
                 await self.add_leaf(service, zone)
         self.put_configuration()
         self.nodes = [StopNode(self, n) for n in range(self.args.nodes)]
@@ -152,8 +162,8 @@
         limit = max([node.terminated + GRACE_S] +
                     [until for ip, _, until in self.pauses if ip == node.ip]) + END_SLACK_S
         try:
-            await asyncio.wait_for(node.process.wait(), limit - time.monotonic())
-            took = time.monotonic() - node.terminated
+            await asyncio.wait_for(node.watch, limit - time.monotonic())
+            took = node.ended - node.terminated
             self.ends.append(took)
             if self.args.time and took > GRACE_S and not self.pauses:
                 self.report_violation("stop", f"{node.ip} ended {took:.2f} s after SIGTERM")
@@ -313,6 +323,7 @@
     """One stop: the traffic and the events during the stop."""
 
     kinds = ["one", "one", "order", "all", "lookup", "hang"]
+    shard_zones = "ab"
 
     def __init__(self, world, callers):
         self.world, self.callers, self.rng = world, callers, world.rng
@@ -330,6 +341,12 @@
             else:
                 self.run(self.callers.begin(rng, self.target.ip, self.kinds, 0.2))
 
+    async def silence_shards(self):
+        await asyncio.sleep(1.2)
+        for leaf in self.world.leafs:
+            if leaf.service in ("s0", "s1", "s2"):
+                leaf.fault, leaf.share = "silent", 1.0
+
     async def play(self):
         self.start_callers()
         await asyncio.sleep(self.rng.uniform(0.7, 1.2))
@@ -383,9 +400,15 @@
 
 
 class DelegateStops(Scenario):
+    """All shards are in the zone of the host that stops, the callers ask the others. In
+    some seeds so many shards are silent that queries wait beyond the stop."""
+
     kinds = ["all", "all", "all", "one"]
+    shard_zones = "aa"
 
     def start_callers(self):
+        if self.rng.random() < 0.5:
+            self.run(self.silence_shards())
         asked = [node for node in self.world.nodes if node.zone != self.target.zone]
         for number in range(14):
             rng = random.Random(f"{self.world.seed}/{number}")
@@ -400,7 +423,7 @@
             if node.zone != self.target.zone and not node.leaving:
                 self.world.terminate(node)
         for node in self.world.nodes:
-            if node.leaving:
+            if node.leaving and node is not self.target:
                 await self.world.await_end(node)
 
 
