Test the memory of hosts beside callers that do not read or complete

soak/endless.py gets three kinds of faulty callers: those that do not read large answers (unread), that leave the last byte of a body out (body), and that send 60 kB behind a request in progress (pipeline). A new check: the answer of a good caller is never one for which there is no room.

--- a/soak/endless.py
+++ b/soak/endless.py
@@ -1,10 +1,11 @@
 #!/usr/bin/env python3
-"""Leafs whose answers do not end, against hosts with a limit of memory.
+"""Leafs and callers that make a host hold bytes, against hosts with a limit of memory.
 
 Runs two hosts as separate processes beside the stand-ins of the soak test. Faulty
-leafs send without end to many callers, others answer beside them. Samples the peak of
-the resident memory of each host (VmHWM). Exits with 1 when a host exceeds its
-`memoryMb` or ends.
+leafs send without end to many callers, or faulty callers do not read their answers or
+do not complete their requests; good callers send requests beside them. Samples the
+peak of the resident memory of each host (VmHWM). Exits with 1 when a host exceeds its
+`memoryMb` or ends, or has no room for an answer of a good caller.
 """
 
 import argparse
@@ -12,6 +13,7 @@
 import pathlib
 import random
 import shutil
+import socket
 import sys
 import tempfile
 import time
@@ -49,12 +51,26 @@
     "health": ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x"),
 }
 
+# What faulty callers do on their connections.
+CALLER_KINDS = ["unread", "body", "pipeline"]
+# Requests of a caller that does not read: the kernel holds the first answers.
+UNREAD_REQUESTS = 4
+LARGE_BYTES = 1_900_000
+MEDIUM_BYTES = 100_000
+RECEIVE_BUFFER_BYTES = 4096
+READ_AHEAD_BYTES = 60_000
+MAX_BODY_BYTES = 262_144
+
 
 class EndlessLeaf(Leaf):
     """Answers requests, or health checks, without end."""
 
     async def answer(self, first, headers, body, writer):
         is_check = first[1] == "/health"
+        if self.world.args.kind == "pipeline" and not is_check:
+            await asyncio.sleep(DEADLINE_MS / 1000)
+        if self.world.args.kind in CALLER_KINDS:
+            return await super().answer(first, headers, body, writer)
         if is_check == (self.world.args.kind == "health"):
             await self.send(writer)
             return False
@@ -126,7 +142,9 @@
         super().report_violation(promise, what)
 
     def records(self, request, service):
-        return b"g" * ANSWER_BYTES
+        if service == "good":
+            return b"g" * ANSWER_BYTES
+        return b"g" * (MEDIUM_BYTES if request.startswith("good") else LARGE_BYTES)
 
     def put_configuration(self):
         services = self.faulty + ["good"]
@@ -137,7 +155,7 @@
                         "targetLatencyMs": 200, "backend": one} for one in services],
             "backends": [{"name": one, "healthCheck": "/health", "maxConns": CONNECTIONS}
                          for one in services],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": MAX_BODY_BYTES, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}})
 
     async def add(self, kind, service, number):
@@ -163,7 +181,7 @@
 
     def check_fault(self):
         """A run without an answer that does not end shows nothing."""
-        if not self.endless_bytes:
+        if not self.endless_bytes and self.args.kind not in CALLER_KINDS:
             self.report_violation("fault", "no faulty leaf was asked")
 
     def check_memory(self):
@@ -173,6 +191,16 @@
                     "memory", f"{node.ip} held {node.peak / MEGABYTE:.0f} MB of "
                     f"{self.args.memory_mb} MB")
 
+    def check_room(self):
+        """The answers of good callers are never those for which there is no room."""
+        refused = set()
+        for path in sorted(self.folder.glob("node-*.log")):
+            with open(path, errors="replace") as lines:
+                refused |= {line.split(" request=")[1].split(" ")[0] for line in lines
+                            if " event=answer_exceeds_memory request=good-" in line}
+        if refused:
+            self.report_violation("room", f"none for answers to {len(refused)} good requests")
+
     async def sample(self):
         while True:
             for node in self.nodes:
@@ -207,13 +235,56 @@
     count = 0
     while time.monotonic() < until:
         count += 1
-        service = rng.choice(world.faulty) if group == "faulty" else "good"
+        # Beside answers that are not read, good callers ask the same leafs.
+        uses_faulty = group == "faulty" or world.args.kind == "unread"
+        service = rng.choice(world.faulty) if uses_faulty else "good"
         outcome = await send(world, callers, node.ip, service, f"{group}-{number}-{count}",
                              deadline_ms, pool)
         world.statuses[group][outcome] = world.statuses[group].get(outcome, 0) + 1
         await asyncio.sleep(rng.uniform(0, 2 * PAUSE_S))
 
 
+def request_bytes(kind, service, number):
+    """What a faulty caller sends on a connection."""
+    head = (f"GET /{service}/{number} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {number}\r\n"
+            f"X-Deadline-Ms: {DEADLINE_MS}\r\n")
+    if kind == "body":
+        return f"{head}Content-Length: {MAX_BODY_BYTES}\r\n\r\n" + "x" * (MAX_BODY_BYTES - 1)
+    if kind == "pipeline":
+        return f"{head}\r\n{head}Content-Length: {READ_AHEAD_BYTES}\r\n\r\n" + "x" * (
+            READ_AHEAD_BYTES - 1)
+    return f"{head}\r\n" * UNREAD_REQUESTS
+
+
+async def run_faulty_caller(world, number, until):
+    """Keeps one connection at a time; reads only what tells that the host has closed it."""
+    rng = random.Random(f"{world.seed}/stuck/{number}")
+    loop = asyncio.get_running_loop()
+    node, kind, count = world.nodes[number % HOSTS], world.args.kind, 0
+    await asyncio.sleep(rng.uniform(0, BEGIN_S))
+    while time.monotonic() < until:
+        count += 1
+        with socket.socket() as connection:
+            connection.setblocking(False)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            try:
+                await loop.sock_connect(connection, (node.ip, world.port))
+                data = request_bytes(kind, rng.choice(world.faulty), f"stuck-{number}-{count}")
+                await loop.sock_sendall(connection, data.encode())
+                while kind != "unread" and await asyncio.wait_for(
+                        loop.sock_recv(connection, 4096), max(0.0, until - time.monotonic())):
+                    pass
+                outcome = "closed"
+                if kind == "unread":
+                    await asyncio.sleep(max(0.0, until - time.monotonic()))
+                    outcome = "kept"
+            except asyncio.TimeoutError:
+                outcome = "kept"
+            except OSError as error:
+                outcome = type(error).__name__
+        world.statuses["faulty"][outcome] = world.statuses["faulty"].get(outcome, 0) + 1
+
+
 async def play(args):
     folder = pathlib.Path(tempfile.mkdtemp(prefix="basilpath-endless-"))
     world = EndlessWorld(args, args.seed, folder)
@@ -222,15 +293,19 @@
     sampling = asyncio.create_task(world.sample())
     await await_ready(world, callers)
     until = time.monotonic() + args.seconds
-    groups = [("faulty", args.callers), ("good", args.good_callers)]
-    await asyncio.gather(*(run_caller(world, callers, group, number, until)
-                           for group, size in groups for number in range(size)))
+    faulty = [run_faulty_caller(world, number, until) if args.kind in CALLER_KINDS
+              else run_caller(world, callers, "faulty", number, until)
+              for number in range(args.callers)]
+    good = [run_caller(world, callers, "good", number, until)
+            for number in range(args.good_callers)]
+    await asyncio.gather(*faulty, *good)
     sampling.cancel()
     for node in world.nodes:
         node.sample()
     await world.stop()
     world.check_fault()
     world.check_memory()
+    world.check_room()
     peaks = ", ".join(f"{node.peak / MEGABYTE:.0f}" for node in world.nodes)
     print(f"{args.kind}{' fast' if args.fast else ''}, {args.services} services, seed "
           f"{args.seed}: {'BROKEN' if world.violations else 'ok'}; peak of the hosts {peaks} MB "
@@ -249,7 +324,7 @@
     parser.add_argument("program", help="path of basilpath-node")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
-    parser.add_argument("--kind", choices=sorted(KINDS), default="chunked")
+    parser.add_argument("--kind", choices=[*KINDS, *CALLER_KINDS], default="chunked")
     parser.add_argument("--fast", action="store_true", help="send as fast as the host reads")
     parser.add_argument("--rate", type=float, default=450_000, help="bytes a second of an answer")
     parser.add_argument("--most", type=int, help="bytes after which an answer is only kept open")
