Soak: groups of requests, slow readers, endless answers, overlapping stops

Added: keepers that send two or three requests before the first answer; each that a host has had for 0.2 s, or in one write with an answered one, must be answered, in order. Callers that read 400 kB slowly and send bytes behind their request. No check or bound was removed; one in four keepers sends groups instead of requests.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,7 +5,9 @@
 import random
 import time
 
+from pipelines import Pipelines
 from platform_standin import read_body, read_head
+from slow_readers import SlowReaders
 
 VERSION_SLACK_S = 0.25
 
@@ -16,6 +18,34 @@
 # Number of services that versions use in turn.
 VERSIONS = 16
 
+DEADLINES_S = {"lookup": 6.0, "large": 3.0}
+USUAL_DEADLINE_S = 1.5
+
+# Of the callers that keep a connection, every which one sends groups of requests.
+GROUPS_EVERY = 4
+# Share of the requests of other callers that ask for a large answer and read it slowly.
+SLOW_SHARE = 0.03
+
+
+class Request:
+    """One request of a caller: its id, its kind and its bytes."""
+
+    def __init__(self, id, kind):
+        self.id, self.kind = id, kind
+        self.deadline_s = DEADLINES_S.get(kind, USUAL_DEADLINE_S)
+        self.body = id.encode() if kind == "order" else b""
+        method = "POST" if kind == "order" else "GET"
+        self.lines = [f"{method} /{kind}/{id} HTTP/1.1", "Host: h", f"X-Request-Id: {id}",
+                      f"X-Deadline-Ms: {int(self.deadline_s * 1000)}"]
+        if self.body:
+            self.lines.append(f"Content-Length: {len(self.body)}")
+        self.sent = None
+
+    @property
+    def bytes(self):
+        return "\r\n".join(self.lines).encode() + b"\r\n\r\n" + self.body
+
+
 class Callers:
     """Keeps connections, queries the directory, sends requests and verifies answers."""
 
@@ -27,6 +57,31 @@
         self.cut = []
         self.stalls = []
         self.number = 0
+        self.pipelines, self.slow_readers = Pipelines(self), SlowReaders(self)
+
+    def compose(self, kind):
+        self.number += 1
+        return Request(f"{self.world.seed:x}-{self.number:x}", kind)
+
+    def note_sent(self, request):
+        request.sent = time.monotonic()
+        self.world.requests.append((request.sent, request.kind))
+        self.answers[request.id] = (request.kind, None)
+
+    def note_outcome(self, request, status, why=""):
+        key = (request.kind, str(status) if status else why)
+        self.counts[key] = self.counts.get(key, 0) + 1
+        self.answers[request.id] = (request.kind, status)
+
+    def check_answered(self, request, ip, answer):
+        """Verifies an answer that has arrived whole."""
+        status, headers, content = answer
+        self.note_outcome(request, status)
+        if status == 200:
+            self.check_answer(request.kind, request.id, headers, content)
+            if request.kind == "version":
+                node = next(one for one in self.world.nodes if one.ip == ip)
+                self.check_version(node, request.id, request.sent)
 
     async def call(self, ip, port, lines, body=b"", pool=None, timeout=3.0, body_delay=0.0):
         """Returns status, headers and body; None with a reason when the call fails."""
@@ -79,7 +134,8 @@
 
     async def run(self, caller, until):
         """Sends one request after the other. Callers below `args.keepers` use each open
-        connection until it ends, whatever the directory returns meanwhile."""
+        connection until it ends, whatever the directory returns meanwhile; some of them send
+        groups of requests. Of the others each reads a large answer slowly now and then."""
         rng = random.Random(f"{self.world.seed}/{caller}")
         keeps = caller < self.world.args.keepers
         pool, hosts, resolved_at = {}, [], 0.0
@@ -89,40 +145,30 @@
                 resolved_at = time.monotonic()
             kept = [ip for ip, _ in pool] if keeps else []
             if kept or hosts:
-                await self.one(rng, rng.choice(kept or hosts), pool)
+                ip = rng.choice(kept or hosts)
+                if keeps and caller % GROUPS_EVERY == 0:
+                    await self.pipelines.send_group(rng, ip, pool)
+                elif not keeps and rng.random() < SLOW_SHARE:
+                    await self.slow_readers.read_one(rng, ip)
+                else:
+                    await self.one(rng, ip, pool)
             await asyncio.sleep(rng.uniform(0.0, rng.choice([0.06, 1.5]) if keeps else 0.06))
 
     async def one(self, rng, ip, pool):
         kind = rng.choices(["all", "one", "order", "version", "lookup"], [5, 2, 2, 2, 2])[0]
-        self.number += 1
-        request = f"{self.world.seed:x}-{self.number:x}"
-        body = request.encode() if kind == "order" else b""
-        method = "POST" if kind == "order" else "GET"
-        deadline_ms = 6000 if kind == "lookup" else 1500
-        lines = [f"{method} /{kind}/{request} HTTP/1.1", "Host: h", f"X-Request-Id: {request}",
-                 f"X-Deadline-Ms: {deadline_ms}"]
-        if body:
-            lines.append(f"Content-Length: {len(body)}")
-        sent = time.monotonic()
-        self.world.requests.append((sent, kind))
-        node = next(one for one in self.world.nodes if one.ip == ip)
-        body_delay = rng.uniform(0.05, 2.5) if body and rng.random() < 0.2 else 0.0
-        answer, why = await self.call(ip, self.world.port, lines, body, pool,
-                                      deadline_ms / 1000 + 1.5, body_delay)
+        request = self.compose(kind)
+        self.note_sent(request)
+        body_delay = rng.uniform(0.05, 2.5) if request.body and rng.random() < 0.2 else 0.0
+        answer, why = await self.call(ip, self.world.port, request.lines, request.body, pool,
+                                      request.deadline_s + 1.5, body_delay)
         if self.world.args.plant == "lost" and answer and rng.random() < 0.02:
             answer, why = None, "closed-kept"
-        outcome = str(answer[0]) if answer else why
-        self.counts[(kind, outcome)] = self.counts.get((kind, outcome), 0) + 1
-        self.answers[request] = (kind, answer[0] if answer else None)
-        if answer is None:
-            if "closed" in why or "after" in why:
-                self.cut.append((request, ip, why, sent + body_delay, time.monotonic()))
+        if answer:
+            self.check_answered(request, ip, answer)
             return
-        status, headers, content = answer
-        if status == 200:
-            self.check_answer(kind, request, headers, content)
-            if kind == "version":
-                self.check_version(node, request, sent)
+        self.note_outcome(request, None, why)
+        if "closed" in why or "after" in why:
+            self.cut.append((request.id, ip, why, request.sent + body_delay, time.monotonic()))
 
     def check_answer(self, kind, request, headers, content):
         world = self.world
@@ -215,6 +261,7 @@
             elif ended - sent - self.stalled(sent, ended) > LOSS_SLACK_S:
                 self.world.report_violation(
                     "lost", f"{request} at {ip}: {why} {ended - sent:.3f} s after it was sent")
+        self.pipelines.check_lost()
 
     async def check_served(self):
         """Five seconds after the last fault at least 90% of requests succeed."""
@@ -232,4 +279,5 @@
     def summary(self):
         total = sum(self.counts.values())
         good = sum(count for key, count in self.counts.items() if key[1] == "200")
-        return f"{good} of {total} served"
+        return (f"{good} of {total} served; groups {self.pipelines.groups}; "
+                f"large {self.slow_readers.answers}")
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -16,6 +16,11 @@
 # Items a page of the store, few enough for many pages.
 PAGE_ITEMS = 7
 
+# The body of an answer without end: about 450 kB a second, for longer than any deadline.
+ENDLESS_PIECE = b"e" * 45_000
+ENDLESS_PAUSE_S = 0.1
+ENDLESS_S = 30.0
+
 
 def now_ms():
     return time.monotonic() * 1000.0
@@ -283,5 +288,22 @@
             writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + rest)
             writer.close()
             return False
+        if fault in ("endless-chunked", "endless-unframed"):
+            await self.answer_without_end(fault == "endless-chunked", signed, writer)
+            return False
         writer.write(answer)
         return True
+
+    async def answer_without_end(self, chunked, headers, writer):
+        """Sends a body that does not end before the host closes the connection."""
+        framing = [("Transfer-Encoding", "chunked")] if chunked else []
+        lines = ["HTTP/1.1 200 X"] + [f"{name}: {value}" for name, value in headers + framing]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        piece = ENDLESS_PIECE
+        if chunked:
+            piece = b"%x\r\n%s\r\n" % (len(piece), piece)
+        ends = time.monotonic() + ENDLESS_S
+        while time.monotonic() < ends and not writer.transport.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -27,8 +27,13 @@
 SHARDS = 5
 DRAIN_S = 3.0
 GRACE_S = 6.0
+# Time after a start within which SIGTERM may still end a host at once.
+START_S = 3.0
 CONNECTIONS = 24
 LOOKUP_WORK_S = 0.16
+LARGE_BYTES = 400_000
+# Time between two reads of the memory that hosts have used.
+MEMORY_READ_S = 0.2
 # Covers each kind of failure within a second or two.
 EXPLAINED_REQUESTS = 60
 # Requests a second that leafs name, far below their demand.
@@ -45,6 +50,9 @@
 ODD_KEYS = ["b&s", "b+s", "b s", "b%26", "b#s", "b?s=1", "a/b/c", "b\r\ns", "b\u00e9", "~" * 190]
 LEAF_FAULTS = ["shed", "error", "slow", "silent", "reset", "reset-before", "cut", "extra",
                "unframed"]
+ENDLESS_FAULTS = ["endless-chunked", "endless-unframed"]
+# Signals that a host may get besides, while it stops.
+SIGNALS_IN_A_STOP = [signal.SIGTERM, signal.SIGTERM, signal.SIGHUP]
 
 
 class Node:
@@ -56,6 +64,7 @@
         self.zone = "ab"[number % 2]
         self.proxy = Proxy(self.ip, world.store.host, world.store.port)
         self.process = None
+        self.started = 0.0
         self.expected_end = False
         self.planned_until = 0.0
         self.disturbed_until = 0.0
@@ -71,7 +80,7 @@
                 "region": "r", "zones": {"a": "r", "b": "r"}, "bindAddrs": address,
                 "portRange": [world.port + 4, world.port + 9], "bootstrap": first,
                 "seeds": [f"{node.ip}:{world.port + 2}" for node in world.nodes[:3]],
-                "limits": {"cpuShare": 1.0, "linkMbps": 1000.0},
+                "limits": {"cpuShare": 1.0, "linkMbps": 1000.0, "memoryMb": world.args.memory_mb},
                 "bounds": {"drainMs": int(DRAIN_S * 1000), "graceS": GRACE_S,
                            "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 40,
                            "ttl_max_s": 5},
@@ -80,6 +89,7 @@
     async def start(self, first=False):
         self.file.write_text(json.dumps(self.settings(first)))
         self.expected_end = False
+        self.started = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(
             self.world.program, stdout=self.log, stderr=self.log,
             env={"BASILPATH_NODE_FILE": str(self.file), "PATH": os.environ["PATH"]})
@@ -90,6 +100,15 @@
         if not self.expected_end and process is self.process:
             self.world.report_violation("end", f"{self.ip} exited unexpectedly with {code}")
 
+    def peak_memory_mb(self):
+        """The most memory that the process has had resident so far; 0 after its end."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        return next((int(line.split()[1]) * 1024 / 1e6 for line in status.splitlines()
+                     if line.startswith("VmHWM:")), 0.0)
+
     def was_disturbed(self, start, end):
         """Whether a restart, pause or cut overlaps a span of time."""
         return any(begin <= end and until >= start for begin, until in self.disturbances)
@@ -124,6 +143,7 @@
         self.next_leaf = 0
         self.store_steady_since = time.monotonic()
         self.done = {}
+        self.peak_memory_mb = 0.0
 
     def report_violation(self, promise, what):
         self.violations.append((promise, what))
@@ -151,7 +171,8 @@
 
     def records(self, request, service):
         rng = random.Random(f"{request}/{service}")
-        return b"".join(rng.randbytes(16) for _ in range(4))
+        records = b"".join(rng.randbytes(16) for _ in range(4))
+        return records * (LARGE_BYTES // len(records)) if service == "large" else records
 
     async def add_leaf(self, service, zone):
         self.next_leaf += 1
@@ -178,9 +199,11 @@
                  targetLatencyMs=200, backend="desk"),
             dict(common, name="lookup", prefix="/lookup/", type="idempotent", timeoutMs=6000,
                  targetLatencyMs=600, backend="lookup"),
+            dict(common, name="large", prefix="/large/", type="idempotent", timeoutMs=3000,
+                 targetLatencyMs=600, backend="large"),
             dict(common, name="version", prefix="/version/", type="idempotent",
                  targetLatencyMs=200, backend=f"v{self.version % VERSIONS}")]
-        names = set(services) | {"desk", "lookup"} | {f"v{n}" for n in range(VERSIONS)}
+        names = set(services) | {"desk", "lookup", "large"} | {f"v{n}" for n in range(VERSIONS)}
         self.store.put("op/config", {
             "version": self.version * 3, "routes": routes,
             "backends": [{"name": name, "healthCheck": "/health", "maxConns": CONNECTIONS}
@@ -202,6 +225,8 @@
             (await self.add_leaf("lookup", zone)).work = LOOKUP_WORK_S
         for n in range(VERSIONS):
             await self.add_leaf(f"v{n}", "ab"[n % 2])
+        for zone in "ab":
+            await self.add_leaf("large", zone)
         self.put_configuration()
         self.nodes = [Node(self, n) for n in range(self.args.nodes)]
         for node in self.nodes:
@@ -245,6 +270,17 @@
             leaf.fault = None
         return f"leafs {fault}"
 
+    async def fault_leafs_endless(self):
+        """Some leafs send answers without end."""
+        chosen = self.rng.sample(self.leafs, max(1, len(self.leafs) // 5))
+        fault = self.rng.choice(ENDLESS_FAULTS)
+        for leaf in chosen:
+            leaf.fault = fault
+        await asyncio.sleep(self.rng.uniform(1, 4))
+        for leaf in chosen:
+            leaf.fault = None
+        return f"leafs {fault}"
+
     async def fault_leaf_hang(self):
         """Some leafs of long requests take them and are silent, beyond a stop of a host."""
         chosen = [leaf for leaf in self.leafs if leaf.service == "lookup"]
@@ -353,24 +389,49 @@
         return f"pause {node.ip}"
 
     async def fault_term(self):
-        node = self.rng.choice(self.nodes)
+        return await self.stop_and_start(self.rng.choice(self.nodes))
+
+    async def stop_and_start(self, node):
         if not node.is_running or node.expected_end:
             return "term skipped"
         node.planned_until = time.monotonic() + GRACE_S + 1
         self.disturb(node, GRACE_S)
         node.expected_end = True
+        starting = time.monotonic() - node.started < START_S
         node.signal(signal.SIGTERM)
+        others = asyncio.create_task(self.signal_again(node))
         try:
-            await asyncio.wait_for(node.process.wait(), GRACE_S)
+            code = await asyncio.wait_for(node.process.wait(), GRACE_S)
+            if code and not (starting and code == -signal.SIGTERM):
+                self.report_violation("stop", f"{node.ip} ended with {code} after SIGTERM")
         except asyncio.TimeoutError:
             if node.disturbed_until < time.monotonic() + 5:
                 self.report_violation(
                     "stop", f"{node.ip} was still running {GRACE_S} s after SIGTERM")
             node.process.kill()
             await node.process.wait()
+        others.cancel()
         await node.start()
         return f"term {node.ip}"
 
+    async def signal_again(self, node):
+        """Half of the stops get further signals: SIGTERM again, or SIGHUP."""
+        if self.rng.random() < 0.5:
+            return
+        for number in self.rng.sample(SIGNALS_IN_A_STOP, self.rng.randint(1, 3)):
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+            node.signal(number)
+
+    async def fault_terms(self):
+        """Stops up to half of the hosts, so that the stops overlap."""
+        count = self.rng.randint(2, max(2, len(self.nodes) // 2))
+        stops = []
+        for node in self.rng.sample(self.nodes, min(count, len(self.nodes))):
+            stops.append(asyncio.create_task(self.stop_and_start(node)))
+            await asyncio.sleep(self.rng.uniform(0.0, 1.5))
+        await asyncio.gather(*stops)
+        return "terms that overlap"
+
     async def fault_hup(self):
         for node in self.nodes:
             node.signal(signal.SIGHUP)
@@ -387,7 +448,7 @@
         names = self.args.kinds.split(",") if self.args.kinds else sorted(
             name.removeprefix("fault_") for name in dir(self) if name.startswith("fault_"))
         if self.args.planned:
-            names = ["term", "hup", "config", "leaf_leaves", "leaf_hang"]
+            names = ["term", "terms", "hup", "config", "leaf_leaves", "leaf_hang"]
         kinds = [getattr(self, f"fault_{name}") for name in names]
         tasks = []
         while time.monotonic() < until:
@@ -397,6 +458,22 @@
             self.done[name.split(" 127")[0]] = self.done.get(name.split(" 127")[0], 0) + 1
 
     # Checks over the whole run.
+    async def measure_memory(self):
+        """Verifies that no host uses more memory than its settings allow."""
+        allowed = 1.0 if self.args.plant == "memory" else self.args.memory_mb
+        exceeded = set()
+        while True:
+            for node in self.nodes:
+                if not node.is_running:
+                    continue
+                used = node.peak_memory_mb()
+                self.peak_memory_mb = max(self.peak_memory_mb, used)
+                if used > allowed and node.process.pid not in exceeded:
+                    exceeded.add(node.process.pid)
+                    self.report_violation(
+                        "memory", f"{node.ip} used {used:.0f} MB, {allowed:g} MB allowed")
+            await asyncio.sleep(MEMORY_READ_S)
+
     def requests_for(self, service, start, end):
         """Requests that callers sent for a service, whether they arrived or not; None for
         services that not every configuration uses."""
@@ -462,11 +539,13 @@
     await callers.await_ready()
     until = time.monotonic() + args.seconds
     stalls = asyncio.create_task(callers.measure_stalls())
+    memory = asyncio.create_task(world.measure_memory())
     tasks = [asyncio.create_task(callers.run(number, until)) for number in range(args.callers)]
     await world.inject(until)
     await asyncio.gather(*tasks)
     stalls.cancel()
     await callers.check_served()
+    memory.cancel()
     await world.stop()
     world.check_budget()
     world.check_limits()
@@ -477,7 +556,7 @@
         world.check_explained()
     verdict = "ok" if not world.violations else "BROKEN"
     print(f"seed {seed}: {verdict}; {callers.summary()}; faults {sum(world.done.values())}; "
-          f"limits {world.limits_checked}; store calls {world.store.calls}", flush=True)
+          f"limits {world.limits_checked}; memory {world.peak_memory_mb:.0f} MB; store calls {world.store.calls}", flush=True)
     if world.violations:
         print(f"  logs: {folder}", flush=True)
     else:
@@ -497,8 +576,11 @@
                         help="number of callers that use a connection until it ends")
     parser.add_argument("--planned", action="store_true", help="only planned operations, no faults")
     parser.add_argument("--kinds", help="comma-separated names of faults; default all")
-    parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain", "limit", "lost"],
+    parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain", "limit", "lost",
+                                              "pipelined", "cut", "memory"],
                         help="inject a violation; the run must fail")
+    parser.add_argument("--memory-mb", type=float, default=128.0,
+                        help="memory that the settings allow a host, and that none may exceed")
     parser.add_argument("--ctl", help="path of basilpathctl; verifies that the logs "
                         "explain each failed request")
     args = parser.parse_args()
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -1,14 +1,22 @@
 #!/usr/bin/env python3
 """Tests of the checks of the soak, on made-up observations."""
 
+import asyncio
 import pathlib
+import random
+import subprocess
 import sys
+import tempfile
 import time
 import types
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 from callers import VERSION_SLACK_S, VERSIONS, Callers  # noqa: E402
+from pipelines import READ_SLACK_S, Unanswered  # noqa: E402
+from platform_standin import reply  # noqa: E402
+import soak  # noqa: E402
+from soak import Node, World  # noqa: E402
 
 
 class VersionCheck(unittest.TestCase):
@@ -59,5 +67,191 @@
         self.assertEqual(self.violations, [])
 
 
+class GroupCheck(unittest.TestCase):
+    """Each request of a group that a host has read is answered, in order."""
+
+    def setUp(self):
+        self.violations = []
+        self.world = types.SimpleNamespace(
+            runs={}, published_at_run={}, requests=[], leafs=[], nodes=[], port=1, seed=1,
+            args=types.SimpleNamespace(plant=None), records=lambda request, service: b"records",
+            report_violation=lambda promise, what: self.violations.append((promise, what)))
+        self.callers = Callers(self.world)
+        self.pipelines = self.callers.pipelines
+
+    def reason(self, waited, has_run=False, follows_answer=False, stalled=0.0):
+        request = self.callers.compose("one")
+        request.sent = 100.0
+        return Unanswered(request, "host", "closed", 100.0 + waited,
+                          follows_answer).reason_lost(has_run, stalled)
+
+    def test_a_request_that_the_host_has_had_for_a_while_is_lost(self):
+        self.assertIsNotNone(self.reason(READ_SLACK_S + 0.01))
+        self.assertIsNone(self.reason(READ_SLACK_S - 0.01))
+
+    def test_a_request_that_was_passed_on_is_lost_at_once(self):
+        self.assertIsNotNone(self.reason(0.0, has_run=True))
+
+    def test_a_request_in_one_write_with_an_answered_one_is_lost_at_once(self):
+        self.assertIsNotNone(self.reason(0.0, follows_answer=True))
+
+    def test_a_stall_of_the_callers_does_not_count(self):
+        self.assertIsNone(self.reason(READ_SLACK_S + 0.01, stalled=0.02))
+        self.assertIsNotNone(self.reason(READ_SLACK_S + 0.03, stalled=0.02))
+
+    def receive(self, ids_answered, requests=2, at_once=True, announces_close=False):
+        """Lets a group receive signed answers with the ids given, then the end."""
+        async def play():
+            group = [self.callers.compose("one") for _ in range(requests)]
+            reader = asyncio.StreamReader()
+            for request in group:
+                self.callers.note_sent(request)
+                self.world.runs[request.id] = [("desk", "leaf", "GET", f"/one/{request.id}", b"")]
+            for position in ids_answered:
+                id = group[position].id
+                more = [("Connection", "close")] if announces_close else []
+                reader.feed_data(reply(200, b"records", [
+                    ("X-Response-Signature", self.callers.signature(id, "leaf")), *more]))
+            reader.feed_eof()
+            sending = asyncio.create_task(asyncio.sleep(0))
+            return await self.pipelines._receive(
+                random.Random(1), reader, "host", group, at_once, sending)
+        kept = asyncio.run(play())
+        self.pipelines.check_lost()
+        return kept
+
+    def promises(self):
+        return [promise for promise, _ in self.violations]
+
+    def test_all_answered_in_order_is_kept(self):
+        self.assertTrue(self.receive([0, 1]))
+        self.assertEqual(self.violations, [])
+
+    def test_answers_in_another_order_are_found(self):
+        self.receive([1, 0])
+        self.assertEqual(self.promises(), ["mixed", "mixed"])
+
+    def test_each_request_without_an_answer_is_found(self):
+        self.assertFalse(self.receive([0], requests=3))
+        self.assertEqual(self.promises(), ["lost", "lost"])
+
+    def test_a_request_dropped_behind_an_announced_close_is_found(self):
+        self.assertFalse(self.receive([0], announces_close=True))
+        self.assertEqual(self.promises(), ["lost"])
+
+
+class SlowReaderCheck(unittest.TestCase):
+    """A large answer arrives whole, however slowly it is read."""
+
+    def setUp(self):
+        GroupCheck.setUp(self)
+        self.content = b"r" * 100_000
+        self.world.records = lambda request, service: self.content
+
+    def read(self, cut_at):
+        """Reads an answer that its server cuts after some bytes of its body."""
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            request = next(iter(self.callers.answers))
+            self.world.runs[request] = [("large", "leaf", "GET", f"/large/{request}", b"")]
+            whole = reply(200, self.content, [
+                ("X-Response-Signature", self.callers.signature(request, "leaf"))])
+            head = len(whole) - len(self.content)
+            writer.write(whole[:head + cut_at])
+            await writer.drain()
+            writer.close()
+
+        async def play():
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            self.world.port = server.sockets[0].getsockname()[1]
+            await self.callers.slow_readers.read_one(random.Random(1), "127.0.0.1")
+            server.close()
+        asyncio.run(play())
+        self.callers.check_lost()
+
+    def test_a_whole_answer_is_kept(self):
+        self.read(len(self.content))
+        self.assertEqual(self.violations, [])
+        self.assertEqual(self.callers.slow_readers.answers, 1)
+
+    def test_an_answer_cut_at_its_last_byte_is_found(self):
+        self.read(len(self.content) - 1)
+        self.assertEqual([promise for promise, _ in self.violations], ["lost"])
+
+
+class MemoryCheck(unittest.TestCase):
+    """No host uses more memory than its settings allow."""
+
+    def violations_of(self, *peaks):
+        world = World.__new__(World)
+        world.args, world.violations = types.SimpleNamespace(plant=None, memory_mb=128.0), []
+        world.peak_memory_mb = 0.0
+        world.nodes = [types.SimpleNamespace(
+            ip=str(number), is_running=True, process=types.SimpleNamespace(pid=number),
+            peak_memory_mb=lambda peak=peak: peak) for number, peak in enumerate(peaks)]
+
+        async def play():
+            measuring = asyncio.create_task(world.measure_memory())
+            await asyncio.sleep(0)
+            measuring.cancel()
+        asyncio.run(play())
+        return world.violations
+
+    def test_each_host_over_its_limit_is_found(self):
+        self.assertEqual(self.violations_of(127.0, 128.0), [])
+        self.assertEqual(len(self.violations_of(129.0, 1.0, 129.0)), 2)
+
+    def test_the_peak_of_a_process_is_read(self):
+        node = Node.__new__(Node)
+        node.process = subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE,
+                                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        try:
+            self.assertGreater(node.peak_memory_mb(), 0.1)
+        finally:
+            node.process.communicate(b"\n")
+        self.assertEqual(node.peak_memory_mb(), 0.0)
+
+
+class StopCheck(unittest.TestCase):
+    """A host that gets SIGTERM ends by itself, in time and without an error."""
+
+    def setUp(self):
+        self.grace, soak.GRACE_S = soak.GRACE_S, 0.5
+        self.addCleanup(setattr, soak, "GRACE_S", self.grace)
+
+    def violations_of(self, on_term, started=0.0):
+        """Stops a process that does something on SIGTERM."""
+        async def play(folder):
+            world = World.__new__(World)
+            world.violations, world.rng = [], random.Random(1)
+            ready = pathlib.Path(folder) / "ready"
+            process = await asyncio.create_subprocess_exec(
+                "sh", "-c", f"trap '{on_term}' TERM; touch {ready}; while :; do sleep 0.02; done")
+            while not ready.exists():
+                await asyncio.sleep(0.01)
+            started_again = asyncio.Event()
+
+            async def start():
+                started_again.set()
+            node = types.SimpleNamespace(
+                ip="host", process=process, is_running=True, expected_end=False, started=started,
+                disturbed_until=0.0, disturbances=[], signal=process.send_signal, start=start)
+            world.signal_again = lambda node: asyncio.sleep(0)
+            await world.stop_and_start(node)
+            self.assertTrue(started_again.is_set())
+            return world.violations
+        with tempfile.TemporaryDirectory() as folder:
+            return asyncio.run(play(folder))
+
+    def test_a_host_that_ends_with_an_error_is_found(self):
+        self.assertEqual(len(self.violations_of("exit 3")), 1)
+
+    def test_a_host_that_is_ended_by_a_signal_is_found(self):
+        self.assertEqual(len(self.violations_of("trap - TERM; kill -TERM $$")), 1)
+
+    def test_a_host_that_does_not_end_is_found(self):
+        self.assertEqual(len(self.violations_of(":")), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
