--- a/soak/endless.py
+++ b/soak/endless.py
@@ -285,9 +285,8 @@
         world.statuses["faulty"][outcome] = world.statuses["faulty"].get(outcome, 0) + 1
 
 
-async def play(args):
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="basilpath-endless-"))
-    world = EndlessWorld(args, args.seed, folder)
+async def run_all(world, args):
+    """Starts the environment and runs all callers."""
     await world.build()
     callers = Callers(world)
     sampling = asyncio.create_task(world.sample())
@@ -302,7 +301,15 @@
     sampling.cancel()
     for node in world.nodes:
         node.sample()
-    await world.stop()
+
+
+async def play(args):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="basilpath-endless-"))
+    world = EndlessWorld(args, args.seed, folder)
+    try:
+        await run_all(world, args)
+    finally:
+        await world.stop()
     world.check_fault()
     world.check_memory()
     world.check_room()
