--- a/src/node/connection/http_session.cpp
+++ b/src/node/connection/http_session.cpp
@@ -34,8 +34,13 @@
 constexpr std::size_t read_bytes = 4096;
 
 // Bound on pipelined bytes buffered while a request is answered. Beyond it, the
-// session stops reading until the answer is sent.
-constexpr std::size_t max_read_ahead_bytes = 65'536;
+// session stops reading until the answer is sent. Open connections bound the
+// sum.
+constexpr std::size_t max_read_ahead_bytes = 8'192;
+
+// Bound on buffered bytes that complete no element of a request, unless its
+// head may be longer.
+constexpr std::size_t max_element_bytes = 65'536;
 
 // Time within which the first request of a new connection arrives.
 constexpr milliseconds first_request_time{200};
@@ -55,6 +60,10 @@
     return to_instant(std::chrono::steady_clock::now());
 }
 
+// Longest time for which a caller may take no byte of its answer while memory
+// is scarce.
+constexpr milliseconds max_stall_when_scarce{1'000};
+
 // Bytes of a request that are read whatever memory is free. Open connections
 // bound the sum.
 constexpr std::size_t memory_allowance = 8'192;
@@ -139,8 +148,7 @@
 
 void http_session::close_if_expired(instant time)
 {
-    if (this->sending &&
-        time - this->waiting_since > this->server->limits.idle_timeout)
+    if (this->sending && time - this->waiting_since > this->stall_limit())
     {
         this->close();
     }
@@ -156,6 +164,16 @@
     }
 }
 
+// Returns for how long a caller may take no byte of its answer. The time is
+// short while answers that are not taken hold much of the host's memory.
+milliseconds http_session::stall_limit() const
+{
+    const milliseconds usual = this->server->limits.idle_timeout;
+    const bool scarce =
+        this->server->memory && this->server->memory->owner().scarce();
+    return scarce ? std::min(usual, max_stall_when_scarce) : usual;
+}
+
 void http_session::close_if_idle()
 {
     const microseconds waited = now() - this->waiting_since;
@@ -245,7 +263,7 @@
 std::size_t http_session::buffer_limit() const
 {
     return std::max<std::size_t>(this->server->limits.header_bytes,
-                                 max_read_ahead_bytes) +
+                                 max_element_bytes) +
            read_bytes;
 }
 
--- a/src/node/connection/http_session.hpp
+++ b/src/node/connection/http_session.hpp
@@ -86,6 +86,7 @@
     boost::asio::awaitable<bool> read_request(parser& request);
     bool charge_memory(const parser& request);
     boost::asio::awaitable<void> await_delivery();
+    [[nodiscard]] milliseconds stall_limit() const;
     void end_read();
     [[nodiscard]] bool must_end() const;
     boost::asio::awaitable<void> await_answer();
--- a/src/node/process/memory_budget.hpp
+++ b/src/node/process/memory_budget.hpp
@@ -46,6 +46,12 @@
                                               : 0;
     }
 
+    /// Returns whether more than a quarter of the bound is held.
+    [[nodiscard]] bool scarce() const
+    {
+        return this->held_bytes > this->bound / 4;
+    }
+
     /// Number of messages that were refused room.
     [[nodiscard]] std::uint64_t refused() const
     {
--- a/test/node_http_memory_test.cpp
+++ b/test/node_http_memory_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -75,4 +76,24 @@
     CHECK(budget->held() == 0);
 }
 
+// Guards against callers that do not read, whose answers took the room of
+// others.
+TEST_CASE("an answer that is not read is given up soon while memory is scarce")
+{
+    const bool scarce = GENERATE(false, true);
+    server_fixture node;
+    const auto budget = std::make_shared<memory_budget>(100'000);
+    const auto account = std::make_shared<memory_budget::account>(budget);
+    node.server.set_memory(account);
+    account->take(scarce ? 30'000 : 20'000);
+    node.padding = std::string(20'000'000, 'x');
+    node.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    node.receive([&node] { return node.handled_requests == 1; });
+    node.context.run_for(milliseconds(20));
+    node.server.close_expired(to_instant(std::chrono::steady_clock::now()) +
+                              milliseconds(1'100));
+    node.context.run_for(milliseconds(20));
+    CHECK(node.server.busy_count() == (scarce ? 0u : 1u));
+}
+
 } // namespace
