Leave a replica whose answers break off until a trial call is answered

Cause: three failures in a row mark a replica as down, and a good health check marks it as up 250 ms later, with full traffic. The check says nothing of calls. Calls that already waited for the replica were sent to it although it was down. And a good check forgot the outstanding calls, so that calls given up at their deadline no longer counted as failures.

Fix: a circuit breaker in replica_health. After three calls in a row without a whole answer a health check only puts the replica on trial: one call at a time until one is answered well. A trial that breaks off, is given up when overdue, or three given up early, leave the replica for 0.5 s, doubling to 2 s. Placement takes no replica with a trial outstanding, so all paths (forward, gather, subqueries, hedges, retries) keep to it. Forwarded requests that may run once go to a replica on trial only if there is no other. Waiting calls go back unsent. A crash (a refused connection) needs only the health check, as before.

Open: a trial has no bound shared by several hosts; each host makes its own. A replica that alternates good answers and breaks closes its breaker with each good one. The delegating host does not know which replicas the delegate has on trial, it learns it from the refusal.

--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -31,6 +31,10 @@
 // time when another replica pauses.
 constexpr microseconds limited_cost = 15ms;
 
+// Keeps a request that may run once from a replica on trial, unless all others
+// are delisted.
+constexpr microseconds trial_penalty = 5s;
+
 // Makes a delisted replica the last choice.
 constexpr microseconds delisted_penalty = 10s;
 
@@ -51,7 +55,7 @@
 
 bool is_eligible(const candidate& one)
 {
-    return !one.health->down() && !one.target->leaving;
+    return one.health->available() && !one.target->leaving;
 }
 
 bool placement_query::is_delegated(const candidate& one) const
@@ -73,7 +77,7 @@
     result.known = candidates.size();
     for (const candidate& one : candidates)
     {
-        if (one.health->down())
+        if (!one.health->available())
         {
             ++result.down;
         }
@@ -145,6 +149,11 @@
         {
             cost += limited_cost;
         }
+        if (!query.repeatable &&
+            one.health->belief() == replica_belief::on_trial)
+        {
+            cost += trial_penalty;
+        }
         if (one.delisted)
         {
             cost += delisted_penalty;
--- a/src/node/process/placement.hpp
+++ b/src/node/process/placement.hpp
@@ -39,7 +39,8 @@
     }
 };
 
-/// Returns whether a replica may receive requests: not down and not leaving.
+/// Returns whether a replica may receive requests: not down, not leaving and
+/// without an outstanding call on trial.
 [[nodiscard]] bool is_eligible(const candidate& one);
 
 /// Cost of a replica in another failure domain: a round trip between domains
@@ -77,6 +78,10 @@
     /// share of their limits.
     std::span<const failure_domain> delegated{};
 
+    /// Whether the request may be sent again. One that may not goes to a
+    /// replica on trial only when there is no other.
+    bool repeatable = true;
+
     /// Returns whether another host would call this candidate.
     [[nodiscard]] bool is_delegated(const candidate& one) const;
 
@@ -95,6 +100,8 @@
 struct unavailable_replicas
 {
     std::size_t known = 0;
+
+    /// Down, or on trial with a call outstanding.
     std::size_t down = 0;
     std::size_t leaving = 0;
     std::size_t asked = 0;
@@ -115,7 +122,7 @@
 
 /// Chooses the replica with the lowest expected latency. A replica in another
 /// failure domain costs bytes between domains and is chosen only when it is
-/// clearly faster. Excludes replicas that are down, leaving, already tried or
+/// clearly faster. Excludes replicas that are not eligible, already tried or
 /// at their limit.
 [[nodiscard]] std::optional<placement_choice>
 choose_replica(std::span<const candidate> candidates,
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -122,6 +122,10 @@
         for (const auto& call : calls)
         {
             this->health.on_cancelled(now, false);
+            if (call->trial)
+            {
+                this->health.on_trial_ended(now, trial_end::unsent);
+            }
             if (call->done)
             {
                 const auto done = std::exchange(call->done, nullptr);
--- a/src/node/process/replica_health.cpp
+++ b/src/node/process/replica_health.cpp
@@ -53,6 +53,13 @@
 constexpr microseconds min_probe_backoff = 250ms;
 constexpr microseconds max_probe_backoff = 1s;
 
+// Time for which a replica is left after a failed trial, doubled each time.
+constexpr microseconds min_trial_backoff = 500ms;
+constexpr microseconds max_trial_backoff = 2s;
+
+// Consecutive trials that are given up early count as a failed one.
+constexpr unsigned max_abandoned_trials = 3;
+
 double decay(microseconds age, microseconds time_constant)
 {
     return std::exp(-static_cast<double>(std::max(age, 0us).count()) /
@@ -67,9 +74,40 @@
 {
 }
 
-void replica_health::on_sent(instant now)
+bool replica_health::on_sent(instant now)
 {
     this->sent_at.push_back(now);
+    if (this->state != replica_belief::on_trial || this->trial_outstanding)
+    {
+        return false;
+    }
+    this->trial_outstanding = true;
+    return true;
+}
+
+void replica_health::on_trial_ended(instant now, trial_end end)
+{
+    this->trial_outstanding = false;
+    if (this->state != replica_belief::on_trial)
+    {
+        return;
+    }
+    if (end == trial_end::answered)
+    {
+        this->abandoned_trials = 0;
+    }
+    else if (end == trial_end::abandoned)
+    {
+        ++this->abandoned_trials;
+    }
+    if (end == trial_end::broken ||
+        this->abandoned_trials >= max_abandoned_trials)
+    {
+        this->abandoned_trials = 0;
+        this->trial_backoff = std::clamp(this->trial_backoff * 2,
+                                         min_trial_backoff, max_trial_backoff);
+        this->leave(now, this->trial_backoff);
+    }
 }
 
 void replica_health::on_answer(instant now, microseconds latency,
@@ -90,6 +128,7 @@
         return;
     }
     this->failures_in_row = 0;
+    this->forget_trial();
     const double expected =
         std::max(1.0, static_cast<double>(usual.count())) * this->slowdown(now);
     const double ratio =
@@ -131,8 +170,15 @@
         return;
     }
     this->last_activity = now;
-    this->is_down = false;
-    this->failures_in_row = 0;
+    if (this->down())
+    {
+        this->state =
+            this->needs_trial ? replica_belief::on_trial : replica_belief::up;
+    }
+    if (!this->needs_trial)
+    {
+        this->failures_in_row = 0;
+    }
     this->probe_backoff = 0us;
     this->sent_at.clear();
     if (load)
@@ -182,6 +228,17 @@
     return silent_for > std::max(min_silence, usual);
 }
 
+bool replica_health::overdue(instant now, instant sent,
+                             microseconds usual) const
+{
+    const double expected =
+        std::max(static_cast<double>(usual.count()), this->mean_service_us) *
+        this->slowdown(now);
+    return now - sent >
+           std::max(min_silence, microseconds(static_cast<std::int64_t>(
+                                     silence_factor * expected)));
+}
+
 double replica_health::failure_rate(instant now) const
 {
     return this->last_failure_rate *
@@ -195,12 +252,44 @@
         ewma_weight * 2 * (1.0 - this->last_failure_rate);
     this->failure_rate_at = now;
     ++this->failures_in_row;
-    if (!this->is_down &&
-        (certain || this->failures_in_row >= down_after_failures))
+    if (certain && this->trial_backoff == 0us)
+    {
+        // The replica crashed, which explains the calls that broke.
+        this->needs_trial = false;
+    }
+    if (this->down())
+    {
+        return;
+    }
+    if (certain)
+    {
+        this->leave(now, min_probe_backoff);
+    }
+    else if (this->state == replica_belief::up &&
+             this->failures_in_row >= down_after_failures)
+    {
+        this->needs_trial = true;
+        this->leave(now, min_probe_backoff);
+    }
+}
+
+// Sends no request until a health check has passed, at this time or later.
+void replica_health::leave(instant now, microseconds time)
+{
+    this->state = replica_belief::down;
+    this->probe_backoff = min_probe_backoff / 2;
+    this->next_probe_at = now + time;
+}
+
+// Ends the trials: a call was answered well.
+void replica_health::forget_trial()
+{
+    this->needs_trial = false;
+    this->abandoned_trials = 0;
+    this->trial_backoff = 0us;
+    if (this->state == replica_belief::on_trial)
     {
-        this->is_down = true;
-        this->probe_backoff = min_probe_backoff / 2;
-        this->next_probe_at = now + min_probe_backoff;
+        this->state = replica_belief::up;
     }
 }
 
--- a/src/node/process/replica_health.hpp
+++ b/src/node/process/replica_health.hpp
@@ -7,12 +7,30 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 
 namespace basilpath
 {
 
+/// What this process believes of a replica.
+enum class replica_belief : std::uint8_t
+{
+    up,
+    down,    ///< a health check must pass before any request is sent
+    on_trial ///< one call at a time until one is answered well
+};
+
+/// How a call on trial ended.
+enum class trial_end : std::uint8_t
+{
+    unsent,
+    answered,  ///< a whole answer arrived, perhaps a failure
+    abandoned, ///< given up before the answer was overdue
+    broken     ///< no whole answer arrived in time
+};
+
 /// Statistics of one replica on which placement decides. Handles replicas that
 /// are busy with the work of other hosts, pause for a moment, run on a slow
 /// machine, fail part of their requests or have just started.
@@ -21,8 +39,12 @@
 public:
     replica_health(unsigned slots, milliseconds warmup, instant now);
 
-    /// Records that a request was sent to the replica.
-    void on_sent(instant now);
+    /// Records that a request was sent to the replica. Returns whether the call
+    /// is a trial, whose end `on_trial_ended` must record.
+    bool on_sent(instant now);
+
+    /// Records the end of a call on trial, after its result.
+    void on_trial_ended(instant now, trial_end end);
 
     /// Records a complete answer; `usual` is the usual latency of its route.
     void on_answer(instant now, microseconds latency, microseconds usual,
@@ -53,7 +75,31 @@
     /// Returns whether a health check must pass before any request is sent.
     [[nodiscard]] bool down() const
     {
-        return this->is_down;
+        return this->state == replica_belief::down;
+    }
+
+    [[nodiscard]] replica_belief belief() const
+    {
+        return this->state;
+    }
+
+    /// Returns whether a request may be sent: the replica is not down, and no
+    /// call on trial is outstanding.
+    [[nodiscard]] bool available() const
+    {
+        return this->state == replica_belief::up ||
+               (this->state == replica_belief::on_trial &&
+                !this->trial_outstanding);
+    }
+
+    /// Returns whether a call sent at `sent` takes much longer than expected.
+    [[nodiscard]] bool overdue(instant now, instant sent,
+                               microseconds usual) const;
+
+    /// Number of calls in a row, trials included, that got no whole answer.
+    [[nodiscard]] unsigned failed_calls() const
+    {
+        return this->failures_in_row;
     }
 
     /// Time of the next health check; valid only while the replica is down.
@@ -100,6 +146,8 @@
 
 private:
     void record_failure(instant now, bool certain);
+    void leave(instant now, microseconds time);
+    void forget_trial();
     void update_load(const replica_load& load, instant now);
     void remove_oldest_call();
     [[nodiscard]] double slowdown(instant now) const;
@@ -132,9 +180,19 @@
     instant failure_rate_at{};
     unsigned failures_in_row = 0;
 
-    bool is_down = false;
+    replica_belief state = replica_belief::up;
     instant next_probe_at{};
     microseconds probe_backoff{0};
+
+    /// Set when calls got no whole answer: a health check does not show that
+    /// the replica answers again.
+    bool needs_trial = false;
+    bool trial_outstanding = false;
+    unsigned abandoned_trials = 0;
+
+    /// How long the replica was left after the last failed trial; zero before
+    /// the first one.
+    microseconds trial_backoff{0};
 };
 
 } // namespace basilpath
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -154,6 +154,10 @@
     void on_result(const entry_pointer& one,
                    const std::shared_ptr<target_call>& call,
                    target_result result);
+    void note_failure(const entry_pointer& one,
+                      const std::shared_ptr<target_call>& call, instant time);
+    void note_belief(const entry_pointer& one, replica_belief before,
+                     instant time);
     void note_send(const leaf_id& replica, call_purpose purpose);
     void apply_limit(const entry_pointer& one);
     [[nodiscard]] demand_group group_of(const service_name& service) const;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -161,7 +161,7 @@
     }
     this->demand.note(this->group_of(one->target.service),
                       one->target.domain == this->own_domain, now());
-    one->health.on_sent(now());
+    call->trial = one->health.on_sent(now());
     one->waiting.push(call);
     this->dispatch(one);
 }
@@ -307,6 +307,7 @@
                                    target_result result)
 {
     const instant time = now();
+    const replica_belief before = one->health.belief();
     if (result.end == call_end::answered)
     {
         const bool good = result.reply.success();
@@ -324,6 +325,10 @@
         one->health.on_answer(time, result.latency,
                               this->latency(call->route).usual,
                               result.reply.load, good);
+        if (call->trial)
+        {
+            one->health.on_trial_ended(time, trial_end::answered);
+        }
         if (result.reply.misdirected())
         {
             log_event(log_level::info, "replica_misdirected",
@@ -331,20 +336,73 @@
             this->drop_replica(one->target.id, milliseconds(0));
         }
     }
-    else if (call->abandoned)
+    else
+    {
+        this->note_failure(one, call, time);
+    }
+    this->note_belief(one, before, time);
+    if (call->done)
+    {
+        const auto done = std::exchange(call->done, nullptr);
+        done(std::move(result));
+    }
+}
+
+// Records a call that got no whole answer.
+template <target_codec Codec>
+void target_pool<Codec>::note_failure(const entry_pointer& one,
+                                      const std::shared_ptr<target_call>& call,
+                                      instant time)
+{
+    const bool overdue =
+        one->health.overdue(time, call->sent, this->latency(call->route).usual);
+    if (call->abandoned)
     {
-        one->health.on_cancelled(time, one->health.silent(time));
+        const bool missed_deadline = overdue && time >= call->deadline;
+        one->health.on_cancelled(time,
+                                 one->health.silent(time) || missed_deadline);
     }
     else
     {
         one->health.on_broken(time);
         one->connect_check_due = true;
     }
-    if (call->done)
+    if (call->trial)
     {
-        const auto done = std::exchange(call->done, nullptr);
-        done(std::move(result));
+        one->health.on_trial_ended(time, call->abandoned && !overdue
+                                             ? trial_end::abandoned
+                                             : trial_end::broken);
+    }
+}
+
+// Logs a change of belief after a call. Calls that wait for a replica that was
+// left are returned to their sessions, since it would not answer them.
+template <target_codec Codec>
+void target_pool<Codec>::note_belief(const entry_pointer& one,
+                                     replica_belief before, instant time)
+{
+    const replica_belief after = one->health.belief();
+    if (after == before)
+    {
+        return;
     }
+    if (after == replica_belief::up)
+    {
+        log_event(log_level::info, "replica_up",
+                  {{"replica", one->target.id.value},
+                   {"service", one->target.service.value}});
+        return;
+    }
+    const auto rest = std::chrono::duration_cast<milliseconds>(
+        one->health.next_probe() - time);
+    log_event(log_level::info, "replica_left",
+              {{"replica", one->target.id.value},
+               {"service", one->target.service.value},
+               {"reason", before == replica_belief::on_trial ? "trial failed"
+                                                             : "no answers"},
+               {"failures", one->health.failed_calls()},
+               {"next_trial_ms", rest.count()}});
+    one->fail_unsent(one->waiting.take_all(), time);
 }
 
 template <target_codec Codec>
@@ -447,7 +505,8 @@
                              now());
     this->apply_limit(one);
     one->health.on_probe(now(), true, reply->load);
-    log_event(log_level::info, "replica_up",
+    const bool trial = one->health.belief() == replica_belief::on_trial;
+    log_event(log_level::info, trial ? "replica_on_trial" : "replica_up",
               {{"replica", one->target.id.value},
                {"service", one->target.service.value}});
     if (one->connections.empty() && this->replicas.find(one->target.id) == one)
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -108,6 +108,7 @@
     place.asked = this->asked;
     place.random = this->shared.run.random();
     place.latest_start = std::max(this->plan.objective, time);
+    place.repeatable = this->rule.idempotent;
     const auto choice = choose_replica(candidates, place);
     if (choice)
     {
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -126,6 +126,9 @@
     // Set by the transport.
     instant sent{};
     bool on_wire = false;
+
+    /// Whether the replica gets this call to see if it answers again.
+    bool trial = false;
     bool abandoned = false;
 
     /// When the connection of an abandoned call is closed.
