Soak of stops: the seed fixes the times of events

The events of a scenario drew from the generator that the leafs use too, so their times depended on the order of requests. They have their own now.

--- a/soak/stops.py
+++ b/soak/stops.py
@@ -326,7 +326,9 @@
     shard_zones = "ab"
 
     def __init__(self, world, callers):
-        self.world, self.callers, self.rng = world, callers, world.rng
+        self.world, self.callers = world, callers
+        # Apart from the leafs, whose use of their generator depends on the schedule.
+        self.rng = random.Random(f"{world.seed}/events")
         self.target = world.nodes[0]
         self.tasks = []
 
