--- a/soak/stops.py
+++ b/soak/stops.py
@@ -520,6 +520,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--memory-mb", type=float, default=260.0,
+                        help="memory that the settings allow a host")
     parser.add_argument("--scenarios", help="comma-separated names; default all")
     parser.add_argument("--parallel", type=int, default=PARALLEL)
     parser.add_argument("--time", action="store_true",
