Close a connection whose request is answered before it is sent whole

Cause: target_connection looked only at the call to decide whether it is idle. With the early answer the call ended while async_write still sent the body; send() then replaced request_bytes, which the pending write refers to (use after free), and started a second write beside the first.

The connection now has sent its request whole before it is idle, and is closed when the answer comes before that. Other requests use or open another connection.

The other places where a connection is reused, closed or destroyed were read: http_session, node_http_client and frame_connection write from one coroutine or one buffer at a time and hold themselves until the write has ended.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -55,10 +55,12 @@
     /// Closes the connection; its current call ends as `call_end::broken`.
     void close();
 
-    /// Returns whether the connection is established and carries no call.
+    /// Returns whether the connection is established, carries no call and has
+    /// sent the last one whole.
     [[nodiscard]] bool idle() const
     {
-        return this->connected && !this->call && this->socket.is_open();
+        return this->connected && !this->call && !this->writing &&
+               this->socket.is_open();
     }
 
     [[nodiscard]] const std::shared_ptr<target_call>& carried() const
@@ -106,11 +108,16 @@
     std::shared_ptr<memory_charge> charge;
     std::optional<parser> response;
     std::shared_ptr<target_call> call;
+
+    /// Must not change while `writing`.
     std::string request_bytes;
     instant idle_or_connecting_since{};
     milliseconds replica_keep_alive;
     bool connected = false;
 
+    /// Whether the request is still being sent, perhaps after its answer.
+    bool writing = false;
+
     /// Whether the connection must not carry another call.
     bool must_close = false;
 };
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -84,11 +84,13 @@
         std::chrono::duration_cast<milliseconds>(this->call->deadline - now);
     this->request_bytes = Codec::encode_call(*this->call, timeout);
     this->handlers.bytes_transferred(this->request_bytes.size());
+    this->writing = true;
     const auto self = this->shared_from_this();
     boost::asio::async_write(
         this->socket, boost::asio::buffer(this->request_bytes),
         [self](const boost::system::error_code& error, std::size_t)
         {
+            self->writing = false;
             if (error)
             {
                 self->close();
@@ -239,7 +241,10 @@
                    {"bytes", reply.body.size()}});
         return false; // Not from the replica, or the rest of its head is lost.
     }
-    this->must_close = this->must_close || !has_length || !keep;
+    // A replica may answer before it has read the request: the rest would
+    // arrive in front of the next one.
+    this->must_close =
+        this->must_close || !has_length || !keep || this->writing;
     if (reply.keep_alive_timeout)
     {
         this->replica_keep_alive = *reply.keep_alive_timeout;
--- a/test/raw_server.hpp
+++ b/test/raw_server.hpp
@@ -7,10 +7,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +29,9 @@
     /// Whether to close the connection after sending, normally or by a reset.
     bool close = false;
     bool reset = false;
+
+    /// Whether to read no further until `raw_server::read_on` is set.
+    bool hold = false;
 };
 
 /// Listens on a free port of the loopback address.
@@ -50,6 +55,9 @@
                std::to_string(this->acceptor.local_endpoint().port());
     }
 
+    /// Ends the wait of connections that are held.
+    bool read_on = false;
+
     /// The result of every read, in order.
     std::vector<std::string> reads;
     std::size_t connections = 0;
@@ -102,6 +110,13 @@
                 socket.close();
                 co_return;
             }
+            boost::asio::steady_timer timer(this->context);
+            while (action.hold && !this->read_on)
+            {
+                timer.expires_after(std::chrono::milliseconds(1));
+                co_await timer.async_wait(
+                    boost::asio::as_tuple(boost::asio::use_awaitable));
+            }
         }
     }
 
--- a/test/target_pool_fixture.hpp
+++ b/test/target_pool_fixture.hpp
@@ -53,11 +53,26 @@
                                        microseconds timeout = 2s,
                                        const std::string& to = "i-1")
     {
-        auto query = std::make_shared<caller_query>();
-        query->method = "GET";
-        query->target = "/x";
-        query->id = request_id(id);
-        query->headers = {{"Host", "h"}, {"X-Request-Id", id}};
+        return this->start(this->query(id), needs_fresh_connection, timeout,
+                           to);
+    }
+
+    [[nodiscard]] static std::shared_ptr<caller_query>
+    query(const std::string& id)
+    {
+        auto made = std::make_shared<caller_query>();
+        made->method = "GET";
+        made->target = "/x";
+        made->id = request_id(id);
+        made->headers = {{"Host", "h"}, {"X-Request-Id", id}};
+        return made;
+    }
+
+    std::shared_ptr<target_call>
+    start(const std::shared_ptr<const caller_query>& query,
+          bool needs_fresh_connection = false, microseconds timeout = 2s,
+          const std::string& to = "i-1")
+    {
         auto call = std::make_shared<target_call>();
         call->query = query;
         call->to = leaf_id(to);
