Send nothing to the replicas of an evacuated failure domain

The view that carries routes and replicas carries it, so the store's revision orders it and no message is new. target_pool holds evacuated_domains: is_eligible is asked by placement, delegation, hedges and retries, and dispatch, through which every call leaves, sends nothing to such a replica. Calls that wait return as unsent, idle connections are closed, none is opened and no health check is sent. The directory, serving hosts and delegates are chosen as if the domain had no replicas. Requests of services with replicas only there are refused at once, as not run.

--- a/src/node/process/gathering_hosts.cpp
+++ b/src/node/process/gathering_hosts.cpp
@@ -5,7 +5,8 @@
 
 gathering_hosts choose_gathering_hosts(std::span<const member> live,
                                        const std::set<http_address>& serving,
-                                       const failure_domain& own)
+                                       const failure_domain& own,
+                                       const evacuated_domains& evacuated)
 {
     gathering_hosts result;
     std::size_t local = 0;
@@ -24,7 +25,7 @@
         {
             ++local;
         }
-        else if (linked)
+        else if (linked && !evacuated.contains(one.domain))
         {
             result.delegates.push_back({one.links, one.domain});
         }
--- a/src/node/process/gathering_hosts.hpp
+++ b/src/node/process/gathering_hosts.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node/process/delegate_pool.hpp"
+#include "node/process/evacuated_domains.hpp"
 #include "node/process/member.hpp"
 #include "version/ids.hpp"
 
@@ -28,12 +29,12 @@
 };
 
 /// Chooses among the hosts that serve callers, since only these have
-/// connections to each replica. Handles a rolling upgrade, in which hosts of an
+/// connections to each replica. None in an evacuated domain gathers, as it may
+/// call no replica there. Handles a rolling upgrade, in which hosts of an
 /// earlier release, which call every replica themselves, serve alongside hosts
 /// of this one.
-[[nodiscard]] gathering_hosts
-choose_gathering_hosts(std::span<const member> live,
-                       const std::set<http_address>& serving,
-                       const failure_domain& own);
+[[nodiscard]] gathering_hosts choose_gathering_hosts(
+    std::span<const member> live, const std::set<http_address>& serving,
+    const failure_domain& own, const evacuated_domains& evacuated = {});
 
 } // namespace basilpath
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -237,6 +237,10 @@
     stats.live_hosts = static_cast<double>(this->members.live().size());
     stats.replicas = static_cast<double>(this->targets.replica_count());
     stats.slack_share = this->slack.share();
+    const evacuated_domains& evacuated = this->targets.evacuations();
+    stats.evacuated_domains = static_cast<double>(evacuated.count());
+    stats.evacuation_revision = static_cast<double>(evacuated.revision());
+    stats.evacuation_moved_calls = evacuated.moved_calls();
     stats.limited_replicas =
         static_cast<double>(this->targets.limited_replica_count());
     stats.limited_by_purpose = this->targets.limited_send_total();
@@ -399,6 +403,11 @@
             {
                 this->targets.drop_replica(one.id, node_bounds::removal_grace);
             }
+            else if constexpr (std::is_same_v<type, domain_evacuation>)
+            {
+                this->targets.set_evacuation(one.domain, one.in_force,
+                                             change.revision);
+            }
             else if constexpr (!std::is_same_v<type, foreign_item>)
             {
                 this->apply_routes(one);
@@ -491,7 +500,8 @@
                                     serving.contains(this->settings.callers));
     this->update_slack_share(to_instant(now), serving);
     const gathering_hosts gathering = choose_gathering_hosts(
-        this->members.live(), serving, this->settings.domain);
+        this->members.live(), serving, this->settings.domain,
+        this->targets.evacuations());
     this->delegates.set_hosts(gathering.delegates);
     this->targets.set_local_host_count(gathering.local_host_count);
     this->update_limit_shares(to_instant(now), serving);
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -72,6 +72,9 @@
             {{"purpose", std::string(call_purpose_names.at(i))}});
         exposed.add(stats.limited_by_purpose.at(i) - exposed.value());
     }
+    this->raise_counter("basilpath_node_evacuation_moved_calls_total",
+                        "Calls that left the queue of an evacuated replica.",
+                        stats.evacuation_moved_calls);
     const auto gauge =
         [this](std::string_view name, std::string_view help, double value)
     {
@@ -83,6 +86,12 @@
           stats.replicas);
     gauge("basilpath_node_limited_replicas", "Replicas that name a limit.",
           stats.limited_replicas);
+    gauge("basilpath_node_evacuated_domains",
+          "Failure domains to whose replicas nothing may be sent.",
+          stats.evacuated_domains);
+    gauge("basilpath_node_evacuation_revision",
+          "Revision of the store at the last change of an evacuation.",
+          stats.evacuation_revision);
     gauge("basilpath_node_slack_share",
           "This host's share of the slack of the retry budget, as a fraction.",
           stats.slack_share);
--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -55,7 +55,7 @@
 
 bool is_eligible(const candidate& one)
 {
-    return one.health->available() && !one.target->leaving;
+    return one.health->available() && !one.target->leaving && !one.evacuated;
 }
 
 bool placement_query::is_delegated(const candidate& one) const
@@ -77,7 +77,11 @@
     result.known = candidates.size();
     for (const candidate& one : candidates)
     {
-        if (!one.health->available())
+        if (one.evacuated)
+        {
+            ++result.evacuated;
+        }
+        else if (!one.health->available())
         {
             ++result.down;
         }
--- a/src/node/process/placement.hpp
+++ b/src/node/process/placement.hpp
@@ -31,6 +31,9 @@
     /// Calls of this host that wait to be sent to the replica.
     std::size_t waiting = 0;
 
+    /// Whether nothing may be sent to the replica's failure domain.
+    bool evacuated = false;
+
     /// Returns how long a call waits until the limit admits it.
     [[nodiscard]] microseconds limit_wait(instant now) const
     {
@@ -39,8 +42,8 @@
     }
 };
 
-/// Returns whether a replica may receive requests: not down, not leaving and
-/// without an outstanding call on trial.
+/// Returns whether a replica may receive requests: not down, not leaving, not
+/// evacuated and without an outstanding call on trial.
 [[nodiscard]] bool is_eligible(const candidate& one);
 
 /// Cost of a replica in another failure domain: a round trip between domains
@@ -101,6 +104,9 @@
 {
     std::size_t known = 0;
 
+    /// In an evacuated failure domain.
+    std::size_t evacuated = 0;
+
     /// Down, or on trial with a call outstanding.
     std::size_t down = 0;
     std::size_t leaving = 0;
@@ -108,6 +114,12 @@
 
     /// At the limit that they name.
     std::size_t limited = 0;
+
+    /// Returns whether all replicas, at least one, are in evacuated domains.
+    [[nodiscard]] bool all_evacuated() const
+    {
+        return this->known > 0 && this->evacuated == this->known;
+    }
 };
 
 /// Counts the candidates that `choose_replica` excludes.
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -129,7 +129,9 @@
             co_return this->refuse(*state, 503, "replicas_at_limit",
                                    retry_after_bounds::after_overload);
         }
-        co_return this->refuse(*state, 503, "too_few_replicas");
+        co_return this->refuse(*state, 503,
+                               result.evacuated ? "replicas_evacuated"
+                                                : "too_few_replicas");
     case gather_end::overloaded:
         co_return this->refuse(*state, 503, "overloaded",
                                retry_after_bounds::after_overload);
@@ -180,7 +182,9 @@
             co_return this->refuse(*state, 503, "replicas_at_limit",
                                    retry_after_room(*result.room_in));
         }
-        co_return this->refuse(*state, 503, "no_replica_could_run_it");
+        co_return this->refuse(*state, 503,
+                               result.evacuated ? "replicas_evacuated"
+                                                : "no_replica_could_run_it");
     case forward_end::caller_left:
         co_return this->refuse(*state, 504, "caller_left");
     case forward_end::may_have_run:
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -51,6 +51,9 @@
     instant remove_at{};
     bool delisted = false;
 
+    /// Set while nothing may be sent to the replica's failure domain.
+    bool evacuated = false;
+
     /// Set when a call broke: once all connections are closed, a new one checks
     /// whether the replica still accepts connections.
     bool connect_check_due = false;
@@ -115,6 +118,22 @@
         }
     }
 
+    /// Closes the connections that carry no call. Returns their number.
+    std::size_t close_idle()
+    {
+        std::size_t closed = 0;
+        const auto open_connections = this->connections;
+        for (const auto& open : open_connections)
+        {
+            if (open->idle())
+            {
+                open->close();
+                ++closed;
+            }
+        }
+        return closed;
+    }
+
     /// Completes calls as unsent.
     void fail_unsent(const std::vector<std::shared_ptr<target_call>>& calls,
                      instant now)
--- a/src/node/process/replica_list.hpp
+++ b/src/node/process/replica_list.hpp
@@ -48,9 +48,10 @@
             this->of(service), std::back_inserter(result),
             [](const pointer& one)
             {
-                return candidate{&one->target, &one->health, one->delisted,
-                                 one->limit ? &*one->limit : nullptr,
-                                 one->waiting.size()};
+                return candidate{
+                    &one->target,        &one->health,
+                    one->delisted,       one->limit ? &*one->limit : nullptr,
+                    one->waiting.size(), one->evacuated};
             });
         return result;
     }
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/process/demand_meter.hpp"
+#include "node/process/evacuated_domains.hpp"
 #include "node/process/limit_shares.hpp"
 #include "node/process/limited_sends.hpp"
 #include "node/process/memory_budget.hpp"
@@ -13,6 +14,7 @@
 #include "node/process/route_latencies.hpp"
 #include "node/process/traffic_meter.hpp"
 #include "node/request/target_call.hpp"
+#include "node/version/item_cache.hpp"
 #include "node/version/replica.hpp"
 #include "node/version/route_table.hpp"
 
@@ -59,6 +61,18 @@
     /// is listed again, and is used only when there is no other.
     void drop_replica(const leaf_id& id, milliseconds removal_grace);
 
+    /// Sets whether nothing may be sent to the replicas of a failure domain, as
+    /// of a revision of the store. Calls that wait for one of them end as
+    /// unsent.
+    void set_evacuation(const failure_domain& domain, bool in_force,
+                        store_revision as_of);
+
+    /// The failure domains to whose replicas nothing may be sent.
+    [[nodiscard]] const evacuated_domains& evacuations() const
+    {
+        return this->evacuated;
+    }
+
     /// Sets the connection limits of services.
     void set_routes(const std::shared_ptr<const route_table>& routes);
 
@@ -115,7 +129,8 @@
     /// accepts from all hosts together; zero when there is none.
     [[nodiscard]] std::size_t min_connection_limit() const;
 
-    /// Returns the failure domains of the replicas of shards.
+    /// Returns the failure domains of the replicas of shards that may be
+    /// called.
     [[nodiscard]] std::set<failure_domain> shard_domains() const;
 
     [[nodiscard]] const failure_domain& domain() const
@@ -175,6 +190,7 @@
     traffic_meter& traffic;
     std::shared_ptr<memory_budget> memory;
     replica_list<entry> replicas;
+    evacuated_domains evacuated;
     route_latencies latencies;
     named_limits limits;
     limit_shares shares;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace basilpath
@@ -58,6 +60,7 @@
         {
             known->target = one;
             known->delisted = false;
+            known->evacuated = this->evacuated.contains(one.domain);
             return;
         }
         this->drop_replica(one.id, milliseconds(0));
@@ -70,7 +73,8 @@
               {},
               {},
               {},
-              false});
+              false,
+              this->evacuated.contains(one.domain)});
     this->replicas.add(made);
     this->apply_limit(made);
     if (this->hosts.own)
@@ -96,13 +100,53 @@
     }
     this->replicas.remove(one);
     one->fail_unsent(one->waiting.take_all(), now());
-    for (const auto& open : one->connections)
+    one->close_idle();
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::set_evacuation(const failure_domain& domain,
+                                        bool in_force, store_revision as_of)
+{
+    const instant time = now();
+    const auto lasted = this->evacuated.set(domain, in_force, as_of, time);
+    if (!lasted)
     {
-        if (open->idle())
+        return;
+    }
+
+    // Step 1. Mark the replicas, so that no session chooses one of them.
+    std::vector<entry_pointer> affected;
+    std::ranges::copy_if(this->replicas.all() | std::views::values,
+                         std::back_inserter(affected),
+                         [&domain](const entry_pointer& one)
+                         { return one->target.domain == domain; });
+    for (const entry_pointer& one : affected)
+    {
+        one->evacuated = in_force;
+    }
+
+    // Step 2. Return the calls that wait for them to their sessions.
+    std::size_t moved = 0;
+    std::size_t closed = 0;
+    for (const entry_pointer& one : affected)
+    {
+        if (in_force)
         {
-            open->close();
+            const auto calls = one->waiting.take_all();
+            moved += calls.size();
+            closed += one->close_idle();
+            one->fail_unsent(calls, time);
         }
     }
+    this->evacuated.count_moved_calls(moved);
+    log_event(log_level::info,
+              in_force ? "domain_evacuated" : "domain_restored",
+              {{"domain", domain.value},
+               {"revision", as_of},
+               {"replicas", affected.size()},
+               {"calls_moved", moved},
+               {"connections_closed", closed},
+               {"lasted_ms", lasted->count()}});
 }
 
 template <target_codec Codec>
@@ -116,7 +160,11 @@
 template <target_codec Codec>
 std::set<failure_domain> target_pool<Codec>::shard_domains() const
 {
-    return this->replicas.domains(this->shard_services);
+    std::set<failure_domain> domains =
+        this->replicas.domains(this->shard_services);
+    std::erase_if(domains, [this](const failure_domain& one)
+                  { return this->evacuated.contains(one); });
+    return domains;
 }
 
 template <target_codec Codec>
@@ -154,7 +202,7 @@
 void target_pool<Codec>::send(const std::shared_ptr<target_call>& call)
 {
     const entry_pointer one = this->replicas.find(call->to);
-    if (!one)
+    if (!one || one->evacuated)
     {
         call->done({call_end::unsent, {}, microseconds(0)});
         return;
@@ -185,6 +233,10 @@
 template <target_codec Codec>
 void target_pool<Codec>::open(const entry_pointer& one)
 {
+    if (one->evacuated)
+    {
+        return;
+    }
     const auto address = to_endpoint(one->target.address.value);
     if (!address)
     {
@@ -240,6 +292,11 @@
 template <target_codec Codec>
 void target_pool<Codec>::dispatch(const entry_pointer& one)
 {
+    if (one->evacuated)
+    {
+        one->close_idle();
+        return;
+    }
     const instant time = now();
     one->fail_unsent(one->waiting.take_expired(time), now());
     if (!one->limit_admits(time))
@@ -450,8 +507,8 @@
     {
         this->dispatch(one);
     }
-    if (one->health.down() && time >= one->health.next_probe() &&
-        one->take_limit(time))
+    if (one->health.down() && !one->evacuated &&
+        time >= one->health.next_probe() && one->take_limit(time))
     {
         one->health.on_probe_started(time);
         boost::asio::co_spawn(this->context, this->probe(one),
--- a/src/node/request/forward_session.hpp
+++ b/src/node/request/forward_session.hpp
@@ -40,6 +40,9 @@
     /// nothing if no replica was left out for this reason, the longest time if
     /// this host has no share of any limit.
     std::optional<microseconds> room_in;
+
+    /// Whether the service had only replicas in evacuated failure domains.
+    bool evacuated = false;
 };
 
 /// Sends a request to one replica of a service, and to another one when the
@@ -101,6 +104,7 @@
     bool may_have_run = false;
 
     std::optional<microseconds> room_in;
+    bool evacuated = false;
 
     /// The last failure that a replica answered with.
     std::optional<target_reply> failure;
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -127,6 +127,7 @@
             this->room_in = shortest_limit_wait(candidates, time);
             this->shared.targets.note_unplaced(this->service);
         }
+        this->evacuated = unavailable.all_evacuated();
         return false;
     }
     const replica_health& health = *candidates[choice->index].health;
@@ -284,6 +285,7 @@
     result.end = end;
     result.repeats = this->sends > 0 ? this->sends - 1 : 0;
     result.room_in = this->room_in;
+    result.evacuated = this->evacuated;
     if (this->failure)
     {
         result.reply = std::move(*this->failure);
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -58,6 +58,9 @@
     /// Whether replicas at the limit that they name left shards without a call.
     bool limited = false;
 
+    /// Whether a shard had only replicas in evacuated failure domains.
+    bool evacuated = false;
+
     /// How long calls waited on this host before they were sent.
     microseconds waited{0};
 };
@@ -146,6 +149,7 @@
     std::optional<failure_domain> preferred_domain;
     std::size_t repeats = 0;
     bool limited = false;
+    bool evacuated = false;
 
     /// The first calls have been made; further calls are repeats.
     bool first_calls_made = false;
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -146,12 +146,18 @@
             const bool any = std::ranges::any_of(
                 candidates, [&query](const candidate& one)
                 { return is_eligible(one) && query.admits(one); });
-            if (!any && count_unavailable(candidates, query).limited > 0)
+            if (any)
+            {
+                return true;
+            }
+            const auto unavailable = count_unavailable(candidates, query);
+            if (unavailable.limited > 0)
             {
                 this->limited = true;
                 this->shared.targets.note_unplaced(service);
             }
-            return any;
+            this->evacuated = this->evacuated || unavailable.all_evacuated();
+            return false;
         }));
 }
 
@@ -430,6 +436,7 @@
         this->progress.broken(), this->now());
     result.end = end;
     result.limited = this->limited;
+    result.evacuated = this->evacuated;
     result.failed = this->progress.missing();
     result.repeats = this->repeats;
     if (end != gather_end::answered)
--- a/src/node/version/decoded_item.hpp
+++ b/src/node/version/decoded_item.hpp
@@ -28,8 +28,16 @@
     leaf_id id;
 };
 
-using decoded_item =
-    std::variant<foreign_item, unusable_item,
-                 std::shared_ptr<const route_table>, replica, replica_removed>;
+/// The operator asks that nothing be sent to the replicas of a failure domain,
+/// or takes that back.
+struct domain_evacuation
+{
+    failure_domain domain;
+    bool in_force = false;
+};
+
+using decoded_item = std::variant<foreign_item, unusable_item,
+                                  std::shared_ptr<const route_table>, replica,
+                                  replica_removed, domain_evacuation>;
 
 } // namespace basilpath
--- a/src/process/request_timeline.cpp
+++ b/src/process/request_timeline.cpp
@@ -107,6 +107,12 @@
             {
                 course.detail += fmt::format(", {} at their limit", limited);
             }
+            const long long evacuated = one.line.number("evacuated");
+            if (evacuated > 0)
+            {
+                course.detail +=
+                    fmt::format(", {} in an evacuated domain", evacuated);
+            }
         }
     }
     return courses;
@@ -268,6 +274,7 @@
          {"overloaded", "more was asked than the replicas had room for"},
          {"replicas_at_limit",
           "the replicas were at the limits that they name"},
+         {"replicas_evacuated", "the operator evacuated their domain"},
          {"host_stopping", "the host was stopping"},
          {"cut_waiting", "the host ended before it had answered"},
          {"cut_while_sending",
--- a/test/scripted_targets.hpp
+++ b/test/scripted_targets.hpp
@@ -114,7 +114,8 @@
             if (one->target.service == service)
             {
                 found.push_back({&one->target, &one->health, false,
-                                 one->limit ? &*one->limit : nullptr, 0});
+                                 one->limit ? &*one->limit : nullptr, 0,
+                                 one->evacuated});
             }
         }
         return found;
@@ -152,17 +153,18 @@
     /// Gives this host a share of the limit of a replica.
     void limit(const std::string& id, request_rate rate, double depth)
     {
-        const auto found =
-            std::ranges::find_if(this->replicas, [&id](const auto& one)
-                                 { return one->target.id.value == id; });
-        (*found)->limit.emplace().set(rate, depth, now());
+        this->find(id).limit.emplace().set(rate, depth, now());
+    }
+
+    /// Evacuates the failure domain of a replica.
+    void evacuate(const std::string& id)
+    {
+        this->find(id).evacuated = true;
     }
 
     replica_health& health(const std::string& id)
     {
-        return (*std::ranges::find_if(this->replicas, [&id](const auto& one)
-                                      { return one->target.id.value == id; }))
-            ->health;
+        return this->find(id).health;
     }
 
     static instant now()
@@ -185,8 +187,15 @@
         replica target;
         replica_health health;
         std::optional<limit_bucket> limit;
+        bool evacuated = false;
     };
 
+    scripted_replica& find(const std::string& id)
+    {
+        return **std::ranges::find_if(this->replicas, [&id](const auto& one)
+                                      { return one->target.id.value == id; });
+    }
+
     boost::asio::awaitable<void> finish(std::shared_ptr<target_call> call,
                                         target_script next)
     {
