Keep all hosts together within the rate of a cold replica

A service's configuration may name the requests a second that a replica bears while it is cold; nothing read it, nor the cold time in answers, and the cold time of an entry was read once. A domain that returns whole and cold got its full load at once.

The rate is divided among the hosts as the limits that replicas name are (limit_shares), with buckets that keep any one second within the factor and the slack of the settings; half of what these leave is for hosts whose views differ. The newest word of entry and answer counts; a replica is assumed cold for the time of its service when the evacuation of its domain ends. Without a rate or without a bound in the settings nothing is limited. How much slower a cold replica is, is learned from answers instead of a fixed factor of 1.6.

--- a/src/node/process/limit_shares.cpp
+++ b/src/node/process/limit_shares.cpp
@@ -16,11 +16,6 @@
 namespace
 {
 
-// Requests that all hosts together may send at once beyond the rate: a part of
-// what a replica accepts, as hosts disagree for a moment on who shares a limit.
-constexpr double burst_seconds = 1.0;
-constexpr double burst_requests = 4;
-
 // A lower limit is taken for this one, so that its end is noticed.
 constexpr request_rate min_limit{0.25};
 
@@ -101,7 +96,7 @@
 limit_share limit_shares::share_of(const limited_replica& one)
 {
     const request_rate limit = std::max(one.limit, min_limit);
-    const double burst = burst_seconds * limit.value + burst_requests;
+    const double burst = one.burst.seconds * limit.value + one.burst.requests;
     const ranking& ranked = this->rank(one.group, one.domain);
 
     // Step 1. Find the hosts for which a whole request is left.
--- a/src/node/process/limit_shares.hpp
+++ b/src/node/process/limit_shares.hpp
@@ -4,6 +4,7 @@
 #include "node/process/host_demand.hpp"
 #include "version/ids.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,13 +38,24 @@
 void assume_equal_demand(std::vector<demanding_host>& hosts,
                          demand_group group);
 
-/// A replica and the limit that it names.
+/// What all hosts together may send at once beyond a limit: the requests of
+/// some seconds, and a number of requests. The defaults are for the limits that
+/// replicas name: a part of what they accept, as hosts disagree for a moment on
+/// who shares a limit.
+struct request_burst
+{
+    double seconds = 1.0;
+    double requests = 4.0;
+};
+
+/// A replica and the limit on its requests.
 struct limited_replica
 {
     leaf_id id;
     failure_domain domain;
     demand_group group;
     request_rate limit;
+    request_burst burst{};
 };
 
 /// This host's part of a limit.
@@ -55,6 +67,13 @@
     double depth = 0;
 };
 
+/// Returns the share within two limits on the same replica.
+[[nodiscard]] inline limit_share within_both(const limit_share& one,
+                                             const limit_share& other)
+{
+    return {std::min(one.rate, other.rate), std::min(one.depth, other.depth)};
+}
+
 /// Divides each limit in proportion to the hosts' demand. Every host computes
 /// the same division from the demand that hosts announce, so that the
 /// sum over all hosts stays within the limit without any agreement. Where a
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -152,6 +152,7 @@
     {
         this->accept_links();
     }
+    this->targets.set_cold_bound(this->settings.cold_bound);
     this->targets.on_connect_failed([this](const leaf_id& one, instant now)
                                     { this->crashes.note_down(one, now); });
     this->started = std::chrono::steady_clock::now();
@@ -243,6 +244,8 @@
     stats.evacuation_moved_calls = evacuated.moved_calls();
     stats.limited_replicas =
         static_cast<double>(this->targets.limited_replica_count());
+    stats.cold_replicas =
+        static_cast<double>(this->targets.cold_replica_count());
     stats.limited_by_purpose = this->targets.limited_send_total();
     stats.configuration_version =
         this->routes ? static_cast<double>(this->routes->version().value) : 0;
@@ -296,6 +299,7 @@
     this->repeats.set_bound(
         {loaded->repeat_ratio, loaded->repeat_slack, loaded->repeat_window});
     this->memory->set_bound(node_bounds::message_memory(*loaded));
+    this->targets.set_cold_bound(loaded->cold_bound);
     this->update_shares();
     log_event(log_level::info, "reloaded",
               {{"addresses_need_restart", addresses_changed}});
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -86,6 +86,9 @@
           stats.replicas);
     gauge("basilpath_node_limited_replicas", "Replicas that name a limit.",
           stats.limited_replicas);
+    gauge("basilpath_node_cold_replicas",
+          "Replicas whose requests are limited because they are cold.",
+          stats.cold_replicas);
     gauge("basilpath_node_evacuated_domains",
           "Failure domains to whose replicas nothing may be sent.",
           stats.evacuated_domains);
--- a/src/node/process/node_settings.cpp
+++ b/src/node/process/node_settings.cpp
@@ -22,6 +22,7 @@
     this->repeat_ratio = other.repeat_ratio;
     this->repeat_slack = other.repeat_slack;
     this->repeat_window = other.repeat_window;
+    this->cold_bound = other.cold_bound;
 }
 
 peer_address peer_address_of(const std::string& ip, const port_range& ports)
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -1,6 +1,7 @@
 /// Settings of one node.
 #pragma once
 
+#include "node/process/cold_limit.hpp"
 #include "version/ids.hpp"
 
 #include <cstdint>
@@ -87,6 +88,9 @@
     double repeat_slack = 10.0;
     milliseconds repeat_window{10'000};
 
+    /// What all hosts together may send to a cold replica in a second.
+    cold_excess cold_bound;
+
     /// Longest time for which callers cache an answer of the directory.
     milliseconds directory_max_age{5'000};
 
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -44,9 +44,13 @@
     std::vector<std::shared_ptr<connection>> connections;
     call_queue waiting;
 
-    /// This host's share of the limit that the replica names, if it names one.
+    /// This host's share of the limits in force on the replica: the one that it
+    /// names and the one while it is cold. Nothing when there is none.
     std::optional<limit_bucket> limit;
 
+    /// Whether the limit of cold replicas is among them.
+    bool cold_limit = false;
+
     /// A delisted replica is removed at this time unless it is listed again.
     instant remove_at{};
     bool delisted = false;
--- a/src/node/process/replica_health.cpp
+++ b/src/node/process/replica_health.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace basilpath
 {
@@ -41,10 +42,6 @@
 // Cost of a request that fails and is sent again elsewhere.
 constexpr microseconds failure_penalty = 60ms;
 
-// A replica that has just started takes about this many times the usual
-// latency.
-constexpr double cold_factor = 1.6;
-
 // Consecutive failures that mark a replica as down. A single refused connection
 // suffices.
 constexpr unsigned down_after_failures = 3;
@@ -68,9 +65,11 @@
 
 } // namespace
 
-replica_health::replica_health(unsigned slots, milliseconds warmup, instant now)
+replica_health::replica_health(unsigned slots, milliseconds warmup, instant now,
+                               std::shared_ptr<cold_speed> speed)
     : slot_count(std::max(slots, 1u)), warm_at(now + warmup),
-      last_activity(now), report_at(now - 10s), failure_rate_at(now)
+      speed(std::move(speed)), last_activity(now), report_at(now - 10s),
+      failure_rate_at(now)
 {
 }
 
@@ -134,7 +133,14 @@
     const double ratio =
         std::clamp(static_cast<double>(latency.count()) / expected, 0.1,
                    max_latency_ratio);
-    this->latency_ratio += ewma_weight * (ratio - this->latency_ratio);
+    if (this->cold(now))
+    {
+        this->speed->note(ratio / this->latency_ratio);
+    }
+    else
+    {
+        this->latency_ratio += ewma_weight * (ratio - this->latency_ratio);
+    }
     this->mean_service_us +=
         ewma_weight *
         (static_cast<double>(latency.count()) - this->mean_service_us);
@@ -198,7 +204,7 @@
 {
     const double base = static_cast<double>(usual.count()) *
                         this->latency_ratio * this->slowdown(now) *
-                        (now < this->warm_at ? cold_factor : 1.0);
+                        (this->cold(now) ? this->speed->slowdown() : 1.0);
     const double ahead =
         static_cast<double>(this->outstanding()) + this->external_requests(now);
     const double slots = this->slot_count;
--- a/src/node/process/replica_health.hpp
+++ b/src/node/process/replica_health.hpp
@@ -1,6 +1,7 @@
 /// Health and load of one replica as observed by this process.
 #pragma once
 
+#include "node/process/cold_speed.hpp"
 #include "node/request/target_call.hpp"
 #include "process/instant.hpp"
 #include "version/ids.hpp"
@@ -9,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 
 namespace basilpath
@@ -37,7 +39,23 @@
 class replica_health
 {
 public:
-    replica_health(unsigned slots, milliseconds warmup, instant now);
+    /// `speed` is shared by the replicas of a host.
+    replica_health(
+        unsigned slots, milliseconds warmup, instant now,
+        std::shared_ptr<cold_speed> speed = std::make_shared<cold_speed>());
+
+    /// Records for how much longer the replica is cold.
+    void set_warmup(milliseconds left, instant now)
+    {
+        this->warm_at = now + left;
+    }
+
+    /// Returns whether the replica is cold: it has just started, or was without
+    /// work.
+    [[nodiscard]] bool cold(instant now) const
+    {
+        return now < this->warm_at;
+    }
 
     /// Records that a request was sent to the replica. Returns whether the call
     /// is a trial, whose end `on_trial_ended` must record.
@@ -154,6 +172,7 @@
 
     unsigned slot_count;
     instant warm_at;
+    std::shared_ptr<cold_speed> speed;
 
     /// Send times of the outstanding requests, oldest first. Answers are
     /// assumed to arrive in this order, which is accurate enough to detect
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -1,6 +1,8 @@
 /// Connections to replicas and the statistics of each replica.
 #pragma once
 
+#include "node/process/cold_limit.hpp"
+#include "node/process/cold_speed.hpp"
 #include "node/process/demand_meter.hpp"
 #include "node/process/evacuated_domains.hpp"
 #include "node/process/limit_shares.hpp"
@@ -24,6 +26,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -73,6 +76,12 @@
         return this->evacuated;
     }
 
+    /// Sets what all hosts together may send to a cold replica.
+    void set_cold_bound(const cold_excess& bound);
+
+    /// Number of replicas whose requests are limited because they are cold.
+    [[nodiscard]] std::size_t cold_replica_count() const;
+
     /// Sets the connection limits of services.
     void set_routes(const std::shared_ptr<const route_table>& routes);
 
@@ -104,7 +113,8 @@
     /// share of the limits.
     void note_unplaced(const service_name& service);
 
-    /// Returns the groups of services of which a replica names a limit.
+    /// Returns the groups of services with a replica whose requests are
+    /// limited.
     [[nodiscard]] std::set<demand_group> limited_groups() const;
 
     /// Returns this host's demand for these groups.
@@ -175,6 +185,9 @@
                      instant time);
     void note_send(const leaf_id& replica, call_purpose purpose);
     void apply_limit(const entry_pointer& one);
+    [[nodiscard]] std::optional<limit_share> cold_share(const entry& one,
+                                                        instant time);
+    void set_warmup(const entry_pointer& one, milliseconds left);
     [[nodiscard]] demand_group group_of(const service_name& service) const;
     void on_closed(const entry_pointer& one,
                    const std::shared_ptr<connection>& ended, bool made);
@@ -194,6 +207,9 @@
     route_latencies latencies;
     named_limits limits;
     limit_shares shares;
+    cold_excess cold_bound;
+    std::shared_ptr<cold_speed> cold_replica_speed =
+        std::make_shared<cold_speed>();
     demand_meter demand;
     limited_sends limited;
     std::shared_ptr<const route_table> table;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -58,6 +58,12 @@
     {
         if (known->same_process(one))
         {
+            // An entry that repeats that the replica is warm may be older than
+            // what the replica has answered since.
+            if (one.warmup != known->target.warmup)
+            {
+                this->set_warmup(known, one.warmup);
+            }
             known->target = one;
             known->delisted = false;
             known->evacuated = this->evacuated.contains(one.domain);
@@ -65,16 +71,17 @@
         }
         this->drop_replica(one.id, milliseconds(0));
     }
-    const auto made = std::make_shared<entry>(
-        entry{one,
-              replica_health(one.slots, one.warmup, now()),
-              std::make_shared<memory_budget::account>(this->memory),
-              {},
-              {},
-              {},
-              {},
-              false,
-              this->evacuated.contains(one.domain)});
+    const auto made = std::make_shared<entry>(entry{
+        one,
+        replica_health(one.slots, one.warmup, now(), this->cold_replica_speed),
+        std::make_shared<memory_budget::account>(this->memory),
+        {},
+        {},
+        {},
+        false,
+        {},
+        false,
+        this->evacuated.contains(one.domain)});
     this->replicas.add(made);
     this->apply_limit(made);
     if (this->hosts.own)
@@ -123,6 +130,12 @@
     for (const entry_pointer& one : affected)
     {
         one->evacuated = in_force;
+        const service_rule* const rule = this->rule_of(*one);
+        if (!in_force && rule && !one->health.cold(time + rule->cold_time))
+        {
+            // Without work it became cold, until it says otherwise.
+            this->set_warmup(one, rule->cold_time);
+        }
     }
 
     // Step 2. Return the calls that wait for them to their sessions.
@@ -370,6 +383,10 @@
         const bool good = result.reply.success();
         if (!result.reply.misdirected())
         {
+            if (result.reply.cold_left)
+            {
+                this->set_warmup(one, *result.reply.cold_left);
+            }
             this->limits.note_answer(one->target.id, result.reply.named_limit,
                                      good, call->sent, time);
             this->apply_limit(one);
@@ -503,6 +520,10 @@
 void target_pool<Codec>::sweep_entry(const entry_pointer& one, instant time)
 {
     one->close_overdue(time);
+    if (one->cold_limit && !one->health.cold(time))
+    {
+        this->apply_limit(one);
+    }
     if (!one->waiting.empty())
     {
         this->dispatch(one);
@@ -560,6 +581,10 @@
     }
     this->limits.note_answer(one->target.id, reply->named_limit, false, sent,
                              now());
+    if (reply->cold_left)
+    {
+        this->set_warmup(one, *reply->cold_left);
+    }
     this->apply_limit(one);
     one->health.on_probe(now(), true, reply->load);
     const bool trial = one->health.belief() == replica_belief::on_trial;
--- a/src/node/process/target_pool_limits.ipp
+++ b/src/node/process/target_pool_limits.ipp
@@ -57,14 +57,24 @@
 {
     const instant time = now();
     const auto limit = this->limits.find(one->target.id, time);
-    if (!limit)
+    const auto cold = this->cold_share(*one, time);
+    one->cold_limit = cold.has_value();
+    if (!limit && !cold)
     {
         one->limit.reset();
         return;
     }
-    const limit_share share =
-        this->shares.share_of({one->target.id, one->target.domain,
-                               this->group_of(one->target.service), *limit});
+    limit_share share = cold.value_or(limit_share{});
+    if (limit)
+    {
+        const limit_share named =
+            this->shares.share_of({one->target.id,
+                                   one->target.domain,
+                                   this->group_of(one->target.service),
+                                   *limit,
+                                   {}});
+        share = cold ? within_both(named, *cold) : named;
+    }
     if (!one->limit)
     {
         one->limit.emplace();
@@ -72,6 +82,63 @@
     one->limit->set(share.rate, share.depth, time);
 }
 
+// Returns this host's share of what a replica bears while it is cold; nothing
+// when it is warm or nothing limits the requests of cold replicas.
+template <target_codec Codec>
+std::optional<limit_share> target_pool<Codec>::cold_share(const entry& one,
+                                                          instant time)
+{
+    const service_rule* const rule = this->rule_of(one);
+    if (!rule || !one.health.cold(time))
+    {
+        return std::nullopt;
+    }
+    const auto burst = cold_burst(rule->cold_rate, this->cold_bound);
+    if (!burst)
+    {
+        return std::nullopt;
+    }
+    return this->shares.share_of({one.target.id, one.target.domain,
+                                  this->group_of(one.target.service),
+                                  rule->cold_rate, *burst});
+}
+
+// Records for how much longer a replica is cold, and limits its requests.
+template <target_codec Codec>
+void target_pool<Codec>::set_warmup(const entry_pointer& one, milliseconds left)
+{
+    const instant time = now();
+    const bool before = one->health.cold(time);
+    one->health.set_warmup(left, time);
+    this->apply_limit(one);
+    if (before != one->health.cold(time))
+    {
+        log_event(log_level::info, before ? "replica_warm" : "replica_cold",
+                  {{"replica", one->target.id.value},
+                   {"service", one->target.service.value},
+                   {"left_ms", left.count()},
+                   {"limited", one->cold_limit}});
+    }
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::set_cold_bound(const cold_excess& bound)
+{
+    this->cold_bound = bound;
+    for (const auto& [id, one] : this->replicas.all())
+    {
+        this->apply_limit(one);
+    }
+}
+
+template <target_codec Codec>
+std::size_t target_pool<Codec>::cold_replica_count() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->replicas.all(), [](const auto& one)
+                              { return one.second->cold_limit; }));
+}
+
 template <target_codec Codec>
 demand_group target_pool<Codec>::group_of(const service_name& service) const
 {
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -56,6 +56,9 @@
     /// it names none.
     std::optional<request_rate> named_limit;
 
+    /// For how much longer the replica is cold; nothing when it does not say.
+    std::optional<milliseconds> cold_left;
+
     /// How long the replica keeps an idle connection open, if it announces it.
     std::optional<milliseconds> keep_alive_timeout;
 
--- a/src/node/version/route_table.hpp
+++ b/src/node/version/route_table.hpp
@@ -22,6 +22,13 @@
 
     /// Most connections that one replica accepts from all hosts together.
     std::size_t connections = 0;
+
+    /// Requests a second that a cold replica bears from all hosts together;
+    /// zero when none is named.
+    request_rate cold_rate{0};
+
+    /// How long a replica is cold after its start.
+    milliseconds cold_time{0};
 };
 
 /// Limits on the requests and connections of callers.
--- a/test/limited_cluster.hpp
+++ b/test/limited_cluster.hpp
@@ -38,6 +38,18 @@
         }
     }
 
+    /// Sets what all hosts together may send at once.
+    void set_burst(const request_burst& at_once)
+    {
+        this->burst = at_once;
+    }
+
+    /// Sets whether hosts that start know the limit.
+    void set_known_at_start(bool known)
+    {
+        this->known_at_start = known;
+    }
+
     /// Sets the calls a second that a host would make.
     void set_demand(std::size_t host, double calls)
     {
@@ -57,7 +69,7 @@
         this->members.at(index) =
             std::make_unique<host>(peer_address(fmt::format("{}:1", index)));
         this->members.at(index)->calls = calls;
-        this->members.at(index)->informed = false;
+        this->members.at(index)->informed = this->known_at_start;
     }
 
     void run_for(milliseconds time)
@@ -72,10 +84,11 @@
         }
     }
 
-    /// Returns the most requests in any 4 s after `from`.
-    [[nodiscard]] std::size_t busiest_window(instant from) const
+    /// Returns the most requests in any window of this length after `from`.
+    [[nodiscard]] std::size_t
+    busiest_window(instant from,
+                   microseconds length = std::chrono::seconds(4)) const
     {
-        using namespace std::chrono_literals;
         std::deque<instant> window;
         std::size_t most = 0;
         for (const instant at : this->arrivals)
@@ -85,7 +98,7 @@
                 continue;
             }
             window.push_back(at);
-            while (at - window.front() > 4s)
+            while (at - window.front() > length)
             {
                 window.pop_front();
             }
@@ -175,8 +188,9 @@
             }
         }
         one.shares.set_hosts(std::move(sharers), one.settled.lowest(), 1);
-        const limit_share share = one.shares.share_of(
-            {leaf_id("i-1"), failure_domain("a"), group, this->limit});
+        const limit_share share =
+            one.shares.share_of({leaf_id("i-1"), failure_domain("a"), group,
+                                 this->limit, this->burst});
         one.bucket.set(share.rate, share.depth, this->now);
     }
 
@@ -192,6 +206,8 @@
     }
 
     request_rate limit;
+    request_burst burst;
+    bool known_at_start = false;
     milliseconds view_delay;
     std::mt19937_64 random;
     std::vector<std::unique_ptr<host>> members;
