--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -9,6 +9,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -411,6 +412,10 @@
             {
                 this->targets.set_evacuation(one.domain, one.in_force,
                                              change.revision);
+                // Shares follow the hosts that serve, once the whole update has
+                // been applied.
+                boost::asio::post(this->context,
+                                  [this] { this->update_shares(); });
             }
             else if constexpr (!std::is_same_v<type, foreign_item>)
             {
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -67,6 +67,10 @@
             known->target = one;
             known->delisted = false;
             known->evacuated = this->evacuated.contains(one.domain);
+            if (known->evacuated)
+            {
+                this->dispatch(known);
+            }
             return;
         }
         this->drop_replica(one.id, milliseconds(0));
@@ -305,12 +309,13 @@
 template <target_codec Codec>
 void target_pool<Codec>::dispatch(const entry_pointer& one)
 {
+    const instant time = now();
     if (one->evacuated)
     {
+        one->fail_unsent(one->waiting.take_all(), time);
         one->close_idle();
         return;
     }
-    const instant time = now();
     one->fail_unsent(one->waiting.take_expired(time), now());
     if (!one->limit_admits(time))
     {
