--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -81,6 +81,10 @@
 inline constexpr milliseconds discovery_time{3'000};
 inline constexpr std::size_t assumed_hosts = 8;
 
+/// Time for which a host that has just started sends nothing to cold replicas
+/// with a rate, as it does not know with whom it shares the rate.
+inline constexpr milliseconds cold_discovery_time{1'000};
+
 /// Part of a host's memory that messages may hold. The allocator needs up to
 /// as much again, as it grows a body by copying it; the rest is for the view of
 /// the store and for the small messages that are always admitted.
@@ -402,7 +406,7 @@
             }
             else if constexpr (std::is_same_v<type, replica>)
             {
-                this->targets.set_replica(one);
+                this->targets.set_replica(one, change.revision);
             }
             else if constexpr (std::is_same_v<type, replica_removed>)
             {
@@ -570,8 +574,10 @@
     {
         one.serves = serving_peers.contains(one.address);
     }
-    const bool discovering = std::chrono::steady_clock::now() - this->started <
-                             node_bounds::discovery_time;
+    const auto running = std::chrono::steady_clock::now() - this->started;
+    const bool discovering = running < node_bounds::discovery_time;
+    this->targets.set_cold_sharers_known(running >=
+                                         node_bounds::cold_discovery_time);
     if (discovering)
     {
         add_unknown_hosts(sharers, node_bounds::assumed_hosts);
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -6,6 +6,7 @@
 #include "node/process/limit_bucket.hpp"
 #include "node/process/memory_budget.hpp"
 #include "node/process/replica_health.hpp"
+#include "node/version/item_cache.hpp"
 #include "node/version/replica.hpp"
 
 #include <algorithm>
@@ -51,6 +52,10 @@
     /// Whether the limit of cold replicas is among them.
     bool cold_limit = false;
 
+    /// The revision at which the replica was assumed cold as its domain's
+    /// evacuation ended; zero once the replica has said whether it is.
+    store_revision assumed_cold_at = 0;
+
     /// A delisted replica is removed at this time unless it is listed again.
     instant remove_at{};
     bool delisted = false;
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -57,8 +57,8 @@
     /// Starts the periodic check of connections and of replicas that are down.
     void start();
 
-    /// Adds or updates a replica.
-    void set_replica(const replica& one);
+    /// Adds or updates a replica, as of a revision of the store.
+    void set_replica(const replica& one, store_revision as_of = 0);
 
     /// Takes a replica off the list. It remains for `removal_grace` in case it
     /// is listed again, and is used only when there is no other.
@@ -79,6 +79,10 @@
     /// Sets what all hosts together may send to a cold replica.
     void set_cold_bound(const cold_excess& bound);
 
+    /// Sets whether this host knows the hosts with which it shares the rates of
+    /// cold replicas. While it does not, it sends them nothing.
+    void set_cold_sharers_known(bool known);
+
     /// Number of replicas whose requests are limited because they are cold.
     [[nodiscard]] std::size_t cold_replica_count() const;
 
@@ -188,6 +192,9 @@
     [[nodiscard]] std::optional<limit_share> cold_share(const entry& one,
                                                         instant time);
     void set_warmup(const entry_pointer& one, milliseconds left);
+    void update_warmup(const entry_pointer& known, const replica& listed,
+                       store_revision as_of);
+    void apply_all_limits();
     [[nodiscard]] demand_group group_of(const service_name& service) const;
     void on_closed(const entry_pointer& one,
                    const std::shared_ptr<connection>& ended, bool made);
@@ -208,6 +215,7 @@
     named_limits limits;
     limit_shares shares;
     cold_excess cold_bound;
+    bool cold_sharers_known = true;
     std::shared_ptr<cold_speed> cold_replica_speed =
         std::make_shared<cold_speed>();
     demand_meter demand;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -52,18 +52,13 @@
 }
 
 template <target_codec Codec>
-void target_pool<Codec>::set_replica(const replica& one)
+void target_pool<Codec>::set_replica(const replica& one, store_revision as_of)
 {
     if (const entry_pointer known = this->replicas.find(one.id))
     {
         if (known->same_process(one))
         {
-            // An entry that repeats that the replica is warm may be older than
-            // what the replica has answered since.
-            if (one.warmup != known->target.warmup)
-            {
-                this->set_warmup(known, one.warmup);
-            }
+            this->update_warmup(known, one, as_of);
             known->target = one;
             known->delisted = false;
             known->evacuated = this->evacuated.contains(one.domain);
@@ -83,6 +78,7 @@
         {},
         {},
         false,
+        0,
         {},
         false,
         this->evacuated.contains(one.domain)});
@@ -139,6 +135,7 @@
         {
             // Without work it became cold, until it says otherwise.
             this->set_warmup(one, rule->cold_time);
+            one->assumed_cold_at = as_of;
         }
     }
 
@@ -172,6 +169,7 @@
 {
     this->table = routes;
     this->shard_services = this->table->shard_services();
+    this->apply_all_limits();
 }
 
 template <target_codec Codec>
@@ -390,6 +388,7 @@
         {
             if (result.reply.cold_left)
             {
+                one->assumed_cold_at = 0;
                 this->set_warmup(one, *result.reply.cold_left);
             }
             this->limits.note_answer(one->target.id, result.reply.named_limit,
@@ -588,6 +587,7 @@
                              now());
     if (reply->cold_left)
     {
+        one->assumed_cold_at = 0;
         this->set_warmup(one, *reply->cold_left);
     }
     this->apply_limit(one);
--- a/src/node/process/target_pool_limits.ipp
+++ b/src/node/process/target_pool_limits.ipp
@@ -1,4 +1,5 @@
-/// The part of `target_pool` that keeps to the limits that replicas name.
+/// The part of `target_pool` that keeps to the limits that replicas name and to
+/// the rates of cold ones.
 /// Included by target_pool.ipp.
 #include "node/process/target_pool.hpp"
 #include "process/log.hpp"
@@ -45,6 +46,12 @@
                                            std::size_t domains)
 {
     this->shares.set_hosts(std::move(sharers), std::move(settled), domains);
+    this->apply_all_limits();
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::apply_all_limits()
+{
     for (const auto& [id, one] : this->replicas.all())
     {
         this->apply_limit(one);
@@ -88,19 +95,38 @@
 std::optional<limit_share> target_pool<Codec>::cold_share(const entry& one,
                                                           instant time)
 {
-    const service_rule* const rule = this->rule_of(one);
-    if (!rule || !one.health.cold(time))
+    const service_rule* const rule =
+        one.health.cold(time) ? this->rule_of(one) : nullptr;
+    const auto limit =
+        rule ? cold_limit_of(rule->cold_rate, this->cold_bound) : std::nullopt;
+    if (!limit)
     {
         return std::nullopt;
     }
-    const auto burst = cold_burst(rule->cold_rate, this->cold_bound);
-    if (!burst)
+    return this->cold_sharers_known
+               ? this->shares.share_of({one.target.id, one.target.domain,
+                                        this->group_of(one.target.service),
+                                        limit->rate, limit->burst})
+               : limit_share{};
+}
+
+// Takes over the cold time of an entry, unless the entry only repeats that the
+// replica is warm, or was written before the replica was assumed cold: what the
+// replica answered, or the assumption, is newer.
+template <target_codec Codec>
+void target_pool<Codec>::update_warmup(const entry_pointer& known,
+                                       const replica& listed,
+                                       store_revision as_of)
+{
+    const bool assumed = known->assumed_cold_at > 0;
+    const bool outdated = assumed && as_of <= known->assumed_cold_at;
+    const bool repeated = !assumed && listed.warmup == milliseconds(0) &&
+                          known->target.warmup == milliseconds(0);
+    if (!outdated && !repeated)
     {
-        return std::nullopt;
+        known->assumed_cold_at = 0;
+        this->set_warmup(known, listed.warmup);
     }
-    return this->shares.share_of({one.target.id, one.target.domain,
-                                  this->group_of(one.target.service),
-                                  rule->cold_rate, *burst});
 }
 
 // Records for how much longer a replica is cold, and limits its requests.
@@ -125,9 +151,16 @@
 void target_pool<Codec>::set_cold_bound(const cold_excess& bound)
 {
     this->cold_bound = bound;
-    for (const auto& [id, one] : this->replicas.all())
+    this->apply_all_limits();
+}
+
+template <target_codec Codec>
+void target_pool<Codec>::set_cold_sharers_known(bool known)
+{
+    if (this->cold_sharers_known != known)
     {
-        this->apply_limit(one);
+        this->cold_sharers_known = known;
+        this->apply_all_limits();
     }
 }
 
--- a/test/cold_replica_test.cpp
+++ b/test/cold_replica_test.cpp
@@ -46,15 +46,16 @@
                          {{group, level, 0}},
                          true});
     }
-    const auto burst = cold_burst(rate, bound);
-    REQUIRE(burst);
+    const auto limit = cold_limit_of(rate, bound);
+    REQUIRE(limit);
     double most = 0;
     for (const demanding_host& own : hosts)
     {
         limit_shares shares(own.address);
         shares.set_hosts(hosts, own.demands, 3);
-        const limit_share share = shares.share_of(
-            {leaf_id("i-1"), failure_domain("a"), group, rate, *burst});
+        const limit_share share =
+            shares.share_of({leaf_id("i-1"), failure_domain("a"), group,
+                             limit->rate, limit->burst});
         most += share.rate.value + share.depth;
     }
     CHECK(most > 0);
@@ -64,9 +65,19 @@
 TEST_CASE(
     "a service without a rate, or settings without a bound, limit nothing")
 {
-    CHECK_FALSE(cold_burst(request_rate(0), bound).has_value());
-    CHECK_FALSE(cold_burst(request_rate(5), cold_excess{}).has_value());
-    CHECK(cold_burst(request_rate(5), bound).has_value());
+    CHECK_FALSE(cold_limit_of(request_rate(0), bound).has_value());
+    CHECK_FALSE(cold_limit_of(request_rate(5), cold_excess{}).has_value());
+    CHECK(cold_limit_of(request_rate(5), bound).has_value());
+}
+
+TEST_CASE("a bound that leaves little beside the rate is kept as well")
+{
+    const cold_excess tight{GENERATE(1.0, 1.1, 0.5), GENERATE(0.0, 1.0)};
+    const request_rate rate(GENERATE(5.0, 20.0));
+    const auto limit = cold_limit_of(rate, tight);
+    REQUIRE(limit);
+    CHECK(limit->rate.value + limit->burst.requests <=
+          rate.value * tight.factor + tight.requests);
 }
 
 // Guards against a domain that returns whole and cold: each host sends what it
@@ -78,7 +89,7 @@
     const request_rate rate(GENERATE(0.4, 5.0, 20.0));
     const std::uint64_t seed = GENERATE(1U, 2U, 3U);
     limited_cluster cluster(count, rate, 1s, seed);
-    cluster.set_burst(*cold_burst(rate, bound));
+    cluster.set_burst(cold_limit_of(rate, bound)->burst);
     cluster.set_known_at_start(true);
     const double each = 2 + 3 * rate.value / static_cast<double>(count);
     for (std::size_t i = 0; i < count; ++i)
@@ -131,6 +142,13 @@
               })
     {
         this->pool.set_cold_bound(bound);
+        this->pool.set_limit_sharers(
+            {{peer_address("a:1"), failure_domain("a"), {}, true}}, {}, 1);
+        this->set_rate(rate);
+    }
+
+    void set_rate(request_rate rate)
+    {
         this->pool.set_routes(std::make_shared<const route_table>(
             document_number(1), std::vector<route>{},
             std::map<service_name, service_rule>{
@@ -159,6 +177,13 @@
     node.pool.set_replica(cold_replica(node.server, 5'000ms));
     CHECK(node.pool.cold_replica_count() == 1);
     CHECK(node.send_many(40) <= 17);
+    // A call that can wait gets its turn.
+    node.results.clear();
+    node.start("patient", false, 5s, "i-cold");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::answered);
+
     node.pool.set_replica(cold_replica(node.server, 0ms));
     CHECK(node.pool.cold_replica_count() == 0);
     CHECK(node.send_many(40) == 40);
@@ -191,6 +216,43 @@
     CHECK(node.pool.cold_replica_count() == 1);
 }
 
+TEST_CASE("a replica that becomes cold for as long as before is limited again")
+{
+    const bool delisted = GENERATE(false, true);
+    cold_fixture node;
+    node.pool.set_replica(cold_replica(node.server, 100ms));
+    node.run([&node] { return node.pool.cold_replica_count() == 0; });
+    if (delisted)
+    {
+        node.pool.drop_replica(leaf_id("i-cold"), 2'100ms);
+    }
+    node.pool.set_replica(cold_replica(node.server, 100ms));
+    CHECK(node.pool.cold_replica_count() == 1);
+}
+
+TEST_CASE("a rate that a new configuration names is in force at once")
+{
+    cold_fixture node("", request_rate(0));
+    node.pool.set_replica(cold_replica(node.server, 5'000ms));
+    CHECK(node.pool.cold_replica_count() == 0);
+    node.set_rate(request_rate(20));
+    CHECK(node.pool.cold_replica_count() == 1);
+}
+
+TEST_CASE("a host that does not know the others sends a cold replica nothing")
+{
+    cold_fixture node;
+    node.pool.set_cold_sharers_known(false);
+    node.pool.set_replica(cold_replica(node.server, 60'000ms));
+    CHECK(node.send_many(10) == 0);
+    node.pool.set_cold_sharers_known(true);
+    node.results.clear();
+    node.start("patient", false, 5s, "i-cold");
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::answered);
+}
+
 TEST_CASE("a replica is limited until its cold time has passed")
 {
     cold_fixture node;
@@ -211,6 +273,13 @@
     node.pool.set_evacuation(failure_domain("b"), false, 6);
     CHECK(node.pool.cold_replica_count() == 1);
     CHECK(node.send_many(40) <= 17);
+
+    // A full read brings entries that were written before the end.
+    node.pool.set_replica(cold_replica(node.server, 500ms), 4);
+    node.pool.set_replica(cold_replica(node.server, 0ms), 5);
+    CHECK(node.pool.cold_replica_count() == 1);
+    node.pool.set_replica(cold_replica(node.server, 0ms), 7);
+    CHECK(node.pool.cold_replica_count() == 0);
 }
 
 TEST_CASE("a cold replica whose service names no rate gets all calls")
