Answer 503 to a look-up none of whose calls was sent by its deadline

Callers got 504 for a request that had waited for a connection until its deadline and reached no replica, which costs them their retry.

Cause: forward_session ended as "may have run" at its deadline whatever its calls had done; at shutdown it looked at them.

Change: the deadline uses the same decision as shutdown. A call that is abandoned while it waits is never sent.

Evidence: test/not_run_test.cpp, both kinds of look-up, failed before (504); a request one of whose calls broke is still answered 504.

--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -71,14 +71,10 @@
         {
             co_return this->conclude(forward_end::caller_left);
         }
-        if (this->shared.shutdown.reached(time))
+        if (this->shared.shutdown.reached(time) || time >= this->plan.deadline)
         {
             co_return this->conclude(this->unanswered_end());
         }
-        if (time >= this->plan.deadline)
-        {
-            co_return this->conclude(forward_end::may_have_run);
-        }
         if (may_hedge && time >= this->hedge_at)
         {
             this->call_replica();
