Count what may have arrived for a shard by call

Callers got 502 for a query that two delegates in turn had reported as not sent.

Cause: a shard remembered only whether it may have arrived before the last subquery. With two subqueries outstanding the report on the first restored the state of the second, and the shard stayed "may have arrived".

Change: calls that may have arrived are counted, and each report that nothing was sent takes one away.

Evidence: test/not_run_test.cpp, "a query has not run when each of several delegates sent nothing", failed before (502). With one failure among the reports the answer is 502 as before.

--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -296,8 +296,7 @@
     }
     else
     {
-        shard.may_have_arrived = true;
-        shard.may_have_arrived_before = true;
+        ++shard.arrivals;
         if (event.call && !shard.sent_at)
         {
             shard.sent_at = event.call->sent;
--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -100,8 +100,7 @@
         numbers.push_back(one.shard);
         shard.may_arrive_merged =
             shard.may_arrive_merged || !asked.separate_reports;
-        shard.may_have_arrived_before = shard.may_have_arrived;
-        shard.may_have_arrived = true;
+        ++shard.arrivals;
         ++shard.sends;
         shard.hedge_at =
             time + this->plan.hedge_delay + trip + gather_bounds::report_margin;
@@ -234,7 +233,7 @@
     if (absent.why == missing_reason::not_sent)
     {
         --shard.sends;
-        shard.may_have_arrived = shard.may_have_arrived_before;
+        --shard.arrivals;
         shard.direct_only = true;
     }
     if (absent.why == missing_reason::broken)
--- a/src/node/request/gather_shard.hpp
+++ b/src/node/request/gather_shard.hpp
@@ -52,11 +52,8 @@
     /// the query itself may be what breaks calls.
     bool retry_deferred = false;
 
-    /// A call has reached a replica, or may have through another host.
-    bool may_have_arrived = false;
-
-    /// Value of `may_have_arrived` before the last subquery was sent.
-    bool may_have_arrived_before = false;
+    /// Calls that have reached a replica, or may have through another host.
+    std::size_t arrivals = 0;
 
     /// Returns whether no call or subquery is pending that could bring the
     /// part.
@@ -69,7 +66,7 @@
     /// been sent or still may be.
     [[nodiscard]] bool next_is_repeat() const
     {
-        return this->may_have_arrived || !this->idle();
+        return this->arrivals > 0 || !this->idle();
     }
 
     /// How long the first call waited on this host before it was written to a
@@ -91,7 +88,7 @@
     /// Returns whether a replica has run a call or may have.
     [[nodiscard]] bool may_have_run() const
     {
-        return this->may_have_arrived ||
+        return this->arrivals > 0 ||
                std::ranges::any_of(this->calls, [](const auto& call)
                                    { return call->on_wire; });
     }
--- a/test/not_run_test.cpp
+++ b/test/not_run_test.cpp
@@ -1,13 +1,76 @@
 /// Tests that a request which no replica can have received is answered 503, and
 /// one that may have left this host is not.
+#include "linked_hosts.hpp"
 #include "node_session_fixture.hpp"
 
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace
 {
 
 using namespace basilpath;
 using namespace basilpath::test;
 
+target_script unsent_at_once(const target_call&, std::size_t)
+{
+    return lost(call_end::unsent, 0ms);
+}
+
+// A host with replicas and delegates in two other failure domains and none in
+// its own.
+class remote_replicas : public node_session_fixture
+{
+public:
+    static constexpr std::size_t shards = 6;
+
+    remote_replicas() : node_session_fixture(shards, 1.0)
+    {
+        for (std::size_t i = 0; i < shards; ++i)
+        {
+            const std::string service = fmt::format("s{}", i);
+            this->targets.add(service + "-c", service, "c");
+            this->targets.health(service + "-a")
+                .on_connect_failed(scripted_targets::now());
+        }
+        this->targets.usual.answer_bytes = 1'000;
+        this->targets.behave = unsent_at_once;
+        const std::vector<delegate> hosts = {
+            {peer_address("b:1"), failure_domain("b")},
+            {peer_address("c:1"), failure_domain("c")}};
+        this->delegates.set_hosts(hosts);
+        for (const delegate& one : hosts)
+        {
+            this->delegates.on_hello(one.address);
+        }
+        this->send_link =
+            [this](const peer_address& to, const link_message& message)
+        {
+            if (const auto* const one = std::get_if<subquery>(&message))
+            {
+                this->subqueries.emplace_back(to, *one);
+            }
+            return true;
+        };
+    }
+
+    // Reports the same about each shard of a subquery.
+    void report(std::size_t number, missing_reason why)
+    {
+        const auto& [to, asked] = this->subqueries.at(number);
+        subquery_report report;
+        report.number = asked.number;
+        for (const subquery_shard& one : asked.shards)
+        {
+            report.missing_shards.push_back({one.shard, why, {}});
+        }
+        this->delegates.on_report(to, report, 1ms);
+    }
+
+    std::vector<std::pair<peer_address, subquery>> subqueries;
+};
+
 TEST_CASE("a request that waits for a connection until its deadline has not "
           "run")
 {
@@ -38,4 +101,20 @@
     CHECK(node.replies[0].status == 504);
 }
 
+TEST_CASE("a query has not run when each of several delegates sent nothing")
+{
+    remote_replicas node;
+    node.start("/all/x");
+    node.run.run_until(60ms);
+    // The second one replaces the first, which is silent.
+    REQUIRE(node.subqueries.size() == 2);
+    const bool all = GENERATE(true, false);
+    node.report(0, all ? missing_reason::not_sent : missing_reason::failed);
+    node.report(1, missing_reason::not_sent);
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == (all ? 503 : 502));
+    CHECK(node.answered_at[0] < 62ms);
+}
+
 } // namespace
