Answer 503 to a query that each replica refused to run

Callers got 502 for a query whose replicas had all answered that they did not run it; a look-up got 503.

Cause: a refused call counted as one that has arrived.

Change: refusals are counted, and a query may have run only where more calls arrived than were refused. A further call still counts as a repeat.

--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -297,6 +297,7 @@
     else
     {
         ++shard.arrivals;
+        shard.refusals += event.result.reply.not_executed ? 1 : 0;
         if (event.call && !shard.sent_at)
         {
             shard.sent_at = event.call->sent;
--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -236,6 +236,10 @@
         --shard.arrivals;
         shard.direct_only = true;
     }
+    if (absent.why == missing_reason::not_executed)
+    {
+        ++shard.refusals;
+    }
     if (absent.why == missing_reason::broken)
     {
         this->progress.note_broken(absent.replica);
--- a/src/node/request/gather_shard.hpp
+++ b/src/node/request/gather_shard.hpp
@@ -55,6 +55,9 @@
     /// Calls that have reached a replica, or may have through another host.
     std::size_t arrivals = 0;
 
+    /// Those of them that the replica answered not to have run.
+    std::size_t refusals = 0;
+
     /// Returns whether no call or subquery is pending that could bring the
     /// part.
     [[nodiscard]] bool idle() const
@@ -88,7 +91,7 @@
     /// Returns whether a replica has run a call or may have.
     [[nodiscard]] bool may_have_run() const
     {
-        return this->arrivals > 0 ||
+        return this->arrivals > this->refusals ||
                std::ranges::any_of(this->calls, [](const auto& call)
                                    { return call->on_wire; });
     }
--- a/test/not_run_test.cpp
+++ b/test/not_run_test.cpp
@@ -117,4 +117,33 @@
     CHECK(node.answered_at[0] < 62ms);
 }
 
+TEST_CASE("a query that each replica refuses to run has not run")
+{
+    linked_hosts hosts;
+    hosts.behave([](const target_call&, std::size_t) { return shed(); });
+    hosts.start("/all/x");
+    hosts.run.run_until(2s);
+    REQUIRE(hosts.replies.size() == 1);
+    CHECK(hosts.replies[0].status == 503);
+    CHECK(hosts.answered_at[0] < 10ms);
+}
+
+TEST_CASE("a query that some replica may have run is not reported as not run")
+{
+    const call_end end = GENERATE(call_end::broken, call_end::answered);
+    linked_hosts hosts;
+    hosts.behave(
+        [end](const target_call& call, std::size_t)
+        {
+            const bool ran = call.to.value.starts_with("s2");
+            return !ran                      ? shed()
+                   : end == call_end::broken ? lost(call_end::broken)
+                                             : failure(500);
+        });
+    hosts.start("/all/x");
+    hosts.run.run_until(2s);
+    REQUIRE(hosts.replies.size() == 1);
+    CHECK(hosts.replies[0].status == 502);
+}
+
 } // namespace
