Give up the calls of a subquery that were not sent by the objective

Callers got 504 at the deadline for a query whose calls had waited for connections at a delegate all the time.

Cause: the host that answers takes a subquery as arrived until the delegate says otherwise, and the delegate said nothing about calls that wait, nor when it gave them up at its deadline, which is later than that of the requesting host by the way of the message.

Change: a delegate none of whose calls has left by the objective, or by the deadline if that is earlier, abandons them and reports that nothing was sent: the rule that a host has for its own calls. The requesting host tries its replicas directly if it has any left. The deadline of a subquery leaves time for a round trip and the margin of reports. A delegate that has sent one of the calls keeps all. The price is a part that might have come after the objective from replicas that had no room.

--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -90,7 +90,9 @@
     asked.separate_reports = separate_reports;
     asked.soft_timeout =
         std::max(this->plan.cutoff - time - trip / 2, microseconds(0));
-    asked.timeout = std::max(this->plan.deadline - time, microseconds(0));
+    asked.timeout = std::max(this->plan.deadline - time - trip -
+                                 gather_bounds::report_margin,
+                             microseconds(0));
     asked.query = this->query;
     std::vector<std::size_t> numbers;
     for (const remote_choice& one : shards)
--- a/src/node/request/subquery_session.hpp
+++ b/src/node/request/subquery_session.hpp
@@ -65,6 +65,8 @@
     void report_parts(bool with_waiting);
     [[nodiscard]] std::string select_records();
     void abandon_calls();
+    [[nodiscard]] bool nothing_sent() const;
+    void give_up_unsent();
     [[nodiscard]] instant now() const;
 
     services& shared;
@@ -85,6 +87,9 @@
 
     std::vector<leaf_id> broken;
     bool answered = false;
+
+    /// Whether a call has left this host, so that a replica may have run it.
+    bool sent = false;
     bool reported = false;
     bool cancelled = false;
     mailbox<Runtime, call_event> events;
--- a/src/node/request/subquery_session.ipp
+++ b/src/node/request/subquery_session.ipp
@@ -5,6 +5,7 @@
 #include "node/request/record_merge.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -27,6 +28,8 @@
     const auto self = this->shared_from_this();
     const instant report_at = this->arrived + this->asked.report_after;
     const instant deadline = this->arrived + this->asked.timeout;
+    const instant unsent_deadline =
+        std::min(this->arrived + this->rule.objective, deadline);
     for (const subquery_shard& wanted : this->asked.shards)
     {
         this->call_replica(wanted);
@@ -34,8 +37,11 @@
     while (!this->cancelled && !this->open.empty() && this->now() < deadline)
     {
         const bool at_once = this->reported || this->asked.separate_reports;
-        const instant until =
-            at_once ? deadline : std::min(report_at, deadline);
+        instant until = at_once ? deadline : std::min(report_at, deadline);
+        if (this->nothing_sent())
+        {
+            until = std::min(until, unsent_deadline);
+        }
         auto event = co_await this->events.pop_until(
             to_clock<typename Runtime::clock>(until));
         while (event)
@@ -47,7 +53,11 @@
         {
             break;
         }
-        if (!at_once && this->now() >= report_at)
+        if (this->now() >= unsent_deadline && this->nothing_sent())
+        {
+            this->give_up_unsent();
+        }
+        else if (!at_once && this->now() >= report_at)
         {
             this->report_parts(true);
         }
@@ -67,6 +77,7 @@
     const auto found = std::ranges::find(this->open, shard, &open_shard::shard);
     if (found != this->open.end())
     {
+        this->sent = this->sent || found->call->on_wire;
         this->shared.targets.abandon(found->call, milliseconds(0));
         this->open.erase(found);
         this->events.wake();
@@ -140,6 +151,7 @@
     const std::size_t shard = found->shard;
     const leaf_id replica = event.call->to;
     this->open.erase(found);
+    this->sent = this->sent || event.result.end != call_end::unsent;
     target_reply& reply = event.result.reply;
     switch (to_decision(event.result))
     {
@@ -241,6 +253,32 @@
     this->open.clear();
 }
 
+// Returns whether no call has left this host yet.
+template <runtime Runtime, target_transport Transport>
+bool subquery_session<Runtime, Transport>::nothing_sent() const
+{
+    return !this->sent &&
+           std::ranges::none_of(this->open, [](const open_shard& one)
+                                { return one.call->on_wire; });
+}
+
+// Abandons calls that were not sent and tells the requesting host, which
+// otherwise could not know that they have not run.
+template <runtime Runtime, target_transport Transport>
+void subquery_session<Runtime, Transport>::give_up_unsent()
+{
+    subquery_report next;
+    next.number = this->asked.number;
+    std::ranges::transform(this->open, std::back_inserter(next.missing_shards),
+                           [](const open_shard& one) {
+                               return missing_shard{one.shard,
+                                                    missing_reason::not_sent,
+                                                    one.call->to};
+                           });
+    this->abandon_calls();
+    this->report(std::move(next));
+}
+
 template <runtime Runtime, target_transport Transport>
 instant subquery_session<Runtime, Transport>::now() const
 {
--- a/test/not_run_test.cpp
+++ b/test/not_run_test.cpp
@@ -146,4 +146,41 @@
     CHECK(hosts.replies[0].status == 502);
 }
 
+TEST_CASE("a delegate whose calls all wait for a connection gives them up")
+{
+    const milliseconds timeout = GENERATE(1500ms, 60ms);
+    linked_hosts hosts;
+    // The first one measures the round trip.
+    hosts.start("/all/w");
+    hosts.run.run_until(50ms);
+    hosts.far.behave = [](const target_call&, std::size_t)
+    {
+        return lost(call_end::unsent, 10s);
+    };
+    hosts.near.behave = unsent_at_once;
+    hosts.start("/all/x", timeout);
+    hosts.run.run_until(2s);
+    REQUIRE(hosts.replies.size() == 2);
+    CHECK(hosts.replies[1].status == 503);
+    CHECK(hosts.answered_at[1] < 110ms);
+    CHECK(linked_hosts::count(hosts.far.record.text, "  give up ") == 6);
+    CHECK(hosts.subqueries.busy_count() == 0);
+}
+
+TEST_CASE("a delegate one of whose calls was sent keeps the others")
+{
+    linked_hosts hosts;
+    hosts.far.behave = [](const target_call& call, std::size_t)
+    {
+        return call.to.value.starts_with("s2")
+                   ? good_answer(call.to.value, 300ms)
+                   : lost(call_end::unsent, 10s);
+    };
+    hosts.near.behave = unsent_at_once;
+    hosts.start("/all/x");
+    hosts.run.run_until(2s);
+    REQUIRE(hosts.replies.size() == 1);
+    CHECK(hosts.replies[0].status == 504);
+}
+
 } // namespace
