Take subqueries as not sent when none of their bytes left

Callers got 502 or waited for a hedge when a subquery had been dropped because its link was closed, or had not been written when the link broke.

Cause: messages without a link were dropped silently, and the end of a link said nothing about what had been written.

Change: a connection tells the position of each message and the position from which no byte has been handed to the kernel. A subquery that was dropped or begins after that is reported like one that the other host refuses, so its shards are called directly at once. A message that was written in part, or whose write had not ended when the link did, may have arrived.

Evidence: test/not_run_test.cpp, the cases of links and subqueries, failed before (answer after 27 ms instead of at once; no report, or a lost subquery). A subquery whose bytes were written before the reset is still taken as arrived.

--- a/src/node/connection/frame_connection.cpp
+++ b/src/node/connection/frame_connection.cpp
@@ -68,31 +68,38 @@
     this->handlers.opened();
     co_await this->read();
     this->close();
-    this->handlers.closed();
+    this->read_ended = true;
+    if (this->write_buffer.empty())
+    {
+        this->handlers.closed();
+    }
 }
 
-void frame_connection::send(std::string_view message)
+std::optional<stream_position> frame_connection::send(std::string_view message)
 {
     if (!this->open())
     {
-        return;
+        return std::nullopt;
     }
     if (this->send_buffer.size() + message.size() > max_unsent_bytes)
     {
         log_event(log_level::warning, "link_not_read",
                   {{"waiting_bytes", this->send_buffer.size()}});
         this->close();
-        return;
+        return std::nullopt;
     }
+    const stream_position position(this->bytes_queued);
     std::array<unsigned char, length_bytes> length{};
     boost::endian::store_big_u32(length.data(),
                                  static_cast<std::uint32_t>(message.size()));
     this->send_buffer.append(length.begin(), length.end());
     this->send_buffer.append(message);
+    this->bytes_queued += length.size() + message.size();
     if (this->write_buffer.empty())
     {
         this->write_next();
     }
+    return position;
 }
 
 void frame_connection::close()
@@ -159,11 +166,13 @@
 void frame_connection::write_next()
 {
     this->write_buffer = std::exchange(this->send_buffer, {});
+    this->bytes_handed_over += this->write_buffer.size();
     const auto self = this->shared_from_this();
     asio::async_write(
         this->socket, asio::buffer(this->write_buffer),
-        [self](const boost::system::error_code& error, std::size_t)
+        [self](const boost::system::error_code& error, std::size_t written)
         {
+            self->bytes_handed_over -= self->write_buffer.size() - written;
             self->write_buffer.clear();
             if (error)
             {
@@ -173,6 +182,10 @@
             {
                 self->write_next();
             }
+            if (self->read_ended && self->write_buffer.empty())
+            {
+                self->handlers.closed();
+            }
         });
 }
 
--- a/src/node/connection/frame_connection.hpp
+++ b/src/node/connection/frame_connection.hpp
@@ -1,6 +1,7 @@
 /// A TCP connection between two hosts that carries messages both ways.
 #pragma once
 
+#include "node/connection/stream_position.hpp"
 #include "process/instant.hpp"
 #include "version/ids.hpp"
 
@@ -9,8 +10,10 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,7 +34,7 @@
         /// Handles a message; returns false when it is malformed.
         std::function<bool(std::string_view)> message;
 
-        /// Called once, after the connection has ended.
+        /// Called once, after the connection and its last write have ended.
         std::function<void()> closed;
     };
 
@@ -45,7 +48,14 @@
 
     /// Queues a message for sending. Closes the connection instead when the
     /// peer reads so slowly that the send buffer would exceed its bound.
-    void send(std::string_view message);
+    /// Returns the position of the message, or nothing when it is not sent.
+    std::optional<stream_position> send(std::string_view message);
+
+    /// Returns the position from which no byte has left this process.
+    [[nodiscard]] stream_position unsent_from() const
+    {
+        return stream_position(this->bytes_handed_over);
+    }
 
     void close();
 
@@ -67,7 +77,12 @@
     std::string read_buffer;
     std::string write_buffer;
     std::string send_buffer;
+    std::uint64_t bytes_queued = 0;
+
+    /// Includes the bytes of a write in progress.
+    std::uint64_t bytes_handed_over = 0;
     bool connected = false;
+    bool read_ended = false;
 };
 
 } // namespace basilpath
--- a/src/node/process/delegate_links.cpp
+++ b/src/node/process/delegate_links.cpp
@@ -45,15 +45,21 @@
     asio::co_spawn(this->context, this->maintain(), asio::detached);
 }
 
-void delegate_links::send(const peer_address& host, const link_message& message)
+std::optional<stream_position> delegate_links::send(const peer_address& host,
+                                                    const link_message& message)
 {
     const auto found = this->links.find(host);
-    if (found != this->links.end() && found->second.connection)
+    if (found == this->links.end() || !found->second.connection)
+    {
+        return std::nullopt;
+    }
+    const std::string bytes = encode_link_message(message);
+    const auto position = found->second.connection->send(bytes);
+    if (position)
     {
-        const std::string bytes = encode_link_message(message);
         this->traffic.add(traffic_purpose::subqueries, bytes.size());
-        found->second.connection->send(bytes);
     }
+    return position;
 }
 
 asio::awaitable<void> delegate_links::maintain()
@@ -111,8 +117,8 @@
     };
     callbacks.closed = [this, host]
     {
-        this->links[host].connection.reset();
-        this->pool->on_closed(host);
+        const auto ended = std::exchange(this->links[host].connection, nullptr);
+        this->pool->on_closed(host, ended->unsent_from());
     };
     target.connection = std::make_shared<frame_connection>(
         asio::ip::tcp::socket(this->context), std::move(callbacks));
--- a/src/node/process/delegate_links.hpp
+++ b/src/node/process/delegate_links.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace basilpath
 {
@@ -29,8 +30,10 @@
     /// Starts to open and maintain the links.
     void start(delegate_pool& pool);
 
-    /// Sends a message over the link to a host; drops it if there is no link.
-    void send(const peer_address& host, const link_message& message);
+    /// Sends a message over the link to a host. Returns its position, or
+    /// nothing when it is dropped because there is no link.
+    std::optional<stream_position> send(const peer_address& host,
+                                        const link_message& message);
 
 private:
     /// A link, and the earliest time of the next attempt to open it.
--- a/src/node/process/delegate_pool.cpp
+++ b/src/node/process/delegate_pool.cpp
@@ -87,9 +87,17 @@
 {
     const subquery_number number(++this->last_number);
     request.number = number;
-    this->pending.emplace(number,
-                          pending_subquery{to, std::move(report_handler)});
-    this->send_message(to, request);
+    pending_subquery added{to, std::move(report_handler), {}, {}};
+    std::ranges::transform(request.shards, std::back_inserter(added.shards),
+                           &subquery_shard::shard);
+    const auto position = this->send_message(to, request);
+    if (!position)
+    {
+        report_unsent(number, added);
+        return number;
+    }
+    added.position = *position;
+    this->pending.emplace(number, std::move(added));
     return number;
 }
 
@@ -153,7 +161,8 @@
     }
 }
 
-void delegate_pool::on_closed(const peer_address& host)
+void delegate_pool::on_closed(const peer_address& host,
+                              std::optional<stream_position> unsent_from)
 {
     const auto found = this->hosts.find(host);
     if (found != this->hosts.end() &&
@@ -161,13 +170,12 @@
     {
         log_event(log_level::info, "delegate_lost", {{"delegate", host.value}});
     }
-    std::vector<std::pair<subquery_number, listener>> ended;
+    std::vector<std::pair<subquery_number, pending_subquery>> ended;
     for (auto one = this->pending.begin(); one != this->pending.end();)
     {
         if (one->second.to == host)
         {
-            ended.emplace_back(one->first,
-                               std::move(one->second.report_handler));
+            ended.emplace_back(one->first, std::move(one->second));
             one = this->pending.erase(one);
         }
         else
@@ -175,12 +183,33 @@
             ++one;
         }
     }
-    for (const auto& [number, report_handler] : ended)
+    for (const auto& [number, one] : ended)
     {
-        report_handler(number, std::nullopt);
+        if (unsent_from && one.position >= *unsent_from)
+        {
+            report_unsent(number, one);
+        }
+        else
+        {
+            one.report_handler(number, std::nullopt);
+        }
     }
 }
 
+// Reports that nothing was sent for the shards of a subquery.
+void delegate_pool::report_unsent(subquery_number number,
+                                  const pending_subquery& one)
+{
+    subquery_report report;
+    report.number = number;
+    std::ranges::transform(
+        one.shards, std::back_inserter(report.missing_shards),
+        [](std::size_t shard) {
+            return missing_shard{shard, missing_reason::not_sent, {}};
+        });
+    one.report_handler(number, std::move(report));
+}
+
 void delegate_pool::on_report(const peer_address& host, subquery_report report,
                               microseconds round_trip)
 {
--- a/src/node/process/delegate_pool.hpp
+++ b/src/node/process/delegate_pool.hpp
@@ -1,6 +1,7 @@
 /// Hosts of other failure domains that gather parts of a query there.
 #pragma once
 
+#include "node/connection/stream_position.hpp"
 #include "node/request/subquery.hpp"
 #include "process/instant.hpp"
 #include "version/ids.hpp"
@@ -36,11 +37,14 @@
 class delegate_pool
 {
 public:
-    using sender =
-        std::function<void(const peer_address&, const link_message&)>;
+    /// Returns the position of the message on the link to the host, or nothing
+    /// when it was not sent.
+    using sender = std::function<std::optional<stream_position>(
+        const peer_address&, const link_message&)>;
 
     /// Called with each report, and with no report once none can arrive any
-    /// more.
+    /// more. A subquery that cannot have left this host is reported like one
+    /// that the other host refuses.
     using listener =
         std::function<void(subquery_number, std::optional<subquery_report>)>;
 
@@ -61,7 +65,8 @@
     /// Returns the failure domains that have a usable host.
     [[nodiscard]] std::vector<failure_domain> usable_domains() const;
 
-    /// Assigns a number to a subquery and sends it.
+    /// Assigns a number to a subquery and sends it. Calls the handler at once
+    /// when there is no link.
     subquery_number send(const peer_address& to, subquery request,
                          listener report_handler);
 
@@ -83,8 +88,10 @@
     /// Records that the host sent its hello on a new link.
     void on_hello(const peer_address& host);
 
-    /// Records that the link closed and ends the subqueries on it.
-    void on_closed(const peer_address& host);
+    /// Records that the link closed and ends the subqueries on it. Those from
+    /// `unsent_from` on have not left this host; without it, all may have.
+    void on_closed(const peer_address& host,
+                   std::optional<stream_position> unsent_from = std::nullopt);
 
     /// Passes a report to its listener and stores the link's round-trip time.
     void on_report(const peer_address& host, subquery_report report,
@@ -118,8 +125,12 @@
     {
         peer_address to;
         listener report_handler;
+        std::vector<std::size_t> shards;
+        stream_position position{};
     };
 
+    static void report_unsent(subquery_number number,
+                              const pending_subquery& one);
     [[nodiscard]] std::vector<const state*>
     by_preference(const failure_domain& domain) const;
 
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -110,7 +110,7 @@
       outgoing_links(context, this->traffic),
       delegates(this->settings.links,
                 [this](const peer_address& to, const link_message& message)
-                { this->outgoing_links.send(to, message); }),
+                { return this->outgoing_links.send(to, message); }),
       shared{this->run,     this->targets, this->repeats,  this->requests,
              this->metrics, this->crashes, this->delegates},
       queries(this->shared), subqueries(this->shared),
--- a/test/linked_hosts.hpp
+++ b/test/linked_hosts.hpp
@@ -120,9 +120,12 @@
         [this](const peer_address&, const link_message& message)
         {
             this->send_to_delegate(message);
+            return stream_position(0);
         }};
     delegate_pool no_delegates{peer_address("10.0.0.2:7001"),
-                               [](const peer_address&, const link_message&) {
+                               [](const peer_address&, const link_message&)
+                               {
+                                   return std::nullopt;
                                }};
     request_services<virtual_runtime, scripted_targets> near_shared{
         run, near, near_budget, log, metrics, crashes, delegates};
--- a/test/node_delegate_test.cpp
+++ b/test/node_delegate_test.cpp
@@ -30,7 +30,9 @@
 
 delegate_pool make_pool(const std::string& own)
 {
-    return {peer_address(own), [](const peer_address&, const link_message&) {
+    return {peer_address(own), [](const peer_address&, const link_message&)
+            {
+                return stream_position(0);
             }};
 }
 
--- a/test/node_overload_test.cpp
+++ b/test/node_overload_test.cpp
@@ -94,7 +94,9 @@
     crash_detector crashes{[](const suspected_crash&) {
     }};
     delegate_pool delegates{peer_address("a:1"),
-                            [](const peer_address&, const link_message&) {
+                            [](const peer_address&, const link_message&)
+                            {
+                                return std::nullopt;
                             }};
     request_services<virtual_runtime, queued_targets> shared{
         run, targets, budget, log, metrics, crashes, delegates};
--- a/test/node_session_fixture.hpp
+++ b/test/node_session_fixture.hpp
@@ -84,9 +84,11 @@
     scripted_targets targets{run};
 
     /// Receives the messages to other hosts.
-    std::function<void(const peer_address&, const link_message&)> send_link =
-        [](const peer_address&, const link_message&) {
-        };
+    delegate_pool::sender send_link =
+        [](const peer_address&, const link_message&)
+    {
+        return stream_position(0);
+    };
     retry_budget budget{{0.2, 10.0, 10'000ms}};
     request_log log;
     node_metrics metrics;
@@ -98,7 +100,7 @@
         peer_address("a:1"),
         [this](const peer_address& to, const link_message& message)
         {
-            this->send_link(to, message);
+            return this->send_link(to, message);
         }};
     services shared{run, targets, budget, log, metrics, crashes, delegates};
     query_service<virtual_runtime, scripted_targets> queries{shared};
--- a/test/not_run_test.cpp
+++ b/test/not_run_test.cpp
@@ -1,8 +1,18 @@
 /// Tests that a request which no replica can have received is answered 503, and
 /// one that may have left this host is not.
 #include "linked_hosts.hpp"
+#include "node/connection/link_codec.hpp"
+#include "node/process/delegate_links.hpp"
 #include "node_session_fixture.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +23,8 @@
 using namespace basilpath;
 using namespace basilpath::test;
 
+namespace asio = boost::asio;
+
 target_script unsent_at_once(const target_call&, std::size_t)
 {
     return lost(call_end::unsent, 0ms);
@@ -51,7 +63,7 @@
             {
                 this->subqueries.emplace_back(to, *one);
             }
-            return true;
+            return stream_position(0);
         };
     }
 
@@ -71,6 +83,97 @@
     std::vector<std::pair<peer_address, subquery>> subqueries;
 };
 
+// A host that accepts a link, and the links of another host to it.
+class link_to_peer
+{
+public:
+    link_to_peer()
+        : acceptor(peer_context, {asio::ip::make_address("127.0.0.1"), 0}),
+          peer(peer_context),
+          host(fmt::format("127.0.0.1:{}",
+                           this->acceptor.local_endpoint().port()))
+    {
+        this->pool.set_hosts(
+            std::vector<delegate>{{this->host, failure_domain("b")}});
+    }
+
+    // Opens the link and waits until the host can be used.
+    void open()
+    {
+        this->links.start(this->pool);
+        this->context.run_for(10ms);
+        this->peer = this->acceptor.accept();
+        const std::string hello = encode_link_message(link_hello{});
+        std::array<unsigned char, sizeof(std::uint32_t)> length{};
+        boost::endian::store_big_u32(length.data(),
+                                     static_cast<std::uint32_t>(hello.size()));
+        asio::write(this->peer, std::array<asio::const_buffer, 2>{
+                                    asio::buffer(length), asio::buffer(hello)});
+        for (int i = 0; i < 1'000 && !this->usable(); ++i)
+        {
+            this->context.run_for(1ms);
+        }
+        REQUIRE(this->usable());
+    }
+
+    // Resets the connection; the other host has not noticed it yet.
+    void reset()
+    {
+        this->peer.set_option(asio::socket_base::linger(true, 0));
+        this->peer.close();
+    }
+
+    [[nodiscard]] bool usable() const
+    {
+        return this->pool.usable_in(failure_domain("b")).has_value();
+    }
+
+    void send()
+    {
+        subquery asked;
+        asked.shards = {{3, {}}, {5, {}}};
+        auto query = std::make_shared<caller_query>();
+        query->id = request_id("r1");
+        asked.query = query;
+        this->pool.send(
+            this->host, asked,
+            [this](subquery_number, std::optional<subquery_report> report)
+            { this->reports.push_back(std::move(report)); });
+    }
+
+    void await_reports(std::size_t count)
+    {
+        for (int i = 0; i < 1'000 && this->reports.size() < count; ++i)
+        {
+            this->context.run_for(1ms);
+        }
+    }
+
+    // Returns whether a report says that nothing was sent for both shards.
+    static bool not_sent(const std::optional<subquery_report>& report)
+    {
+        return report && report->missing_shards.size() == 2 &&
+               std::ranges::all_of(
+                   report->missing_shards, [](const missing_shard& one)
+                   { return one.why == missing_reason::not_sent; });
+    }
+
+    asio::io_context context;
+    asio::io_context peer_context;
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket peer;
+    peer_address host;
+    traffic_meter traffic;
+    delegate_links links{context, traffic};
+    delegate_pool pool{
+        peer_address("10.0.0.1:1"),
+        [this](const peer_address& to, const link_message& message)
+        {
+            return this->links.send(to, message);
+        }};
+    std::vector<std::optional<subquery_report>> reports;
+};
+
 TEST_CASE("a request that waits for a connection until its deadline has not "
           "run")
 {
@@ -183,4 +286,71 @@
     CHECK(hosts.replies[0].status == 504);
 }
 
+TEST_CASE("shards are called directly when the link to a delegate is closed")
+{
+    remote_replicas node;
+    node.send_link = [](const peer_address&, const link_message&)
+    {
+        return std::nullopt;
+    };
+    const bool answers = GENERATE(true, false);
+    if (answers)
+    {
+        node.targets.behave = [](const target_call& call, std::size_t)
+        {
+            return good_answer(call.to.value);
+        };
+    }
+    node.start("/all/x");
+    node.run.run_until(2s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == (answers ? 200 : 503));
+    CHECK(node.answered_at[0] < 10ms);
+}
+
+TEST_CASE("a subquery to a host without a link is reported as not sent")
+{
+    link_to_peer node;
+    node.pool.on_hello(node.host);
+    node.send();
+    REQUIRE(node.reports.size() == 1);
+    CHECK(link_to_peer::not_sent(node.reports[0]));
+    CHECK(node.pool.outstanding(node.host) == 0);
+}
+
+TEST_CASE("subqueries on a link that breaks before their bytes leave are "
+          "reported as not sent")
+{
+    link_to_peer node;
+    node.open();
+    node.reset();
+    node.send();
+    node.send();
+    node.await_reports(2);
+    REQUIRE(node.reports.size() == 2);
+    CHECK(link_to_peer::not_sent(node.reports[0]));
+    CHECK(link_to_peer::not_sent(node.reports[1]));
+}
+
+TEST_CASE(
+    "subqueries whose bytes may have left on a link that breaks later are "
+    "not reported as not sent")
+{
+    link_to_peer node;
+    node.open();
+    node.send();
+    // The second one waits until the first is written.
+    const bool written = GENERATE(true, false);
+    if (written)
+    {
+        node.context.run_for(5ms);
+    }
+    node.send();
+    node.reset();
+    node.await_reports(2);
+    REQUIRE(node.reports.size() == 2);
+    CHECK_FALSE(node.reports[0]);
+    CHECK(node.reports[1].has_value() == !written);
+}
+
 } // namespace
