Take a call as unsent when its connection breaks before its bytes leave

Callers got 502 or 504 when a call was given to a connection that the replica had just reset, although the first write failed without a byte.

Cause: a call counted as sent from the moment it was given to a connection.

Change: when the first write fails and no byte was handed to the kernel, the call ends as unsent. Nothing changes while the result of the write is not known.

Evidence: test/not_run_test.cpp, "a call on a connection that breaks before its bytes leave is unsent", failed before (broken). A call written before the reset is still broken.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -52,7 +52,8 @@
     /// Sends a call; the connection must be idle.
     void send(const std::shared_ptr<target_call>& next, instant now);
 
-    /// Closes the connection; its current call ends as `call_end::broken`.
+    /// Closes the connection; its current call ends as `call_end::broken`, or
+    /// as `call_end::unsent` when none of its bytes can have left.
     void close();
 
     /// Returns whether the connection is established, carries no call and has
@@ -118,6 +119,9 @@
     /// Whether the request is still being sent, perhaps after its answer.
     bool writing = false;
 
+    /// Whether sending failed before a byte of the request had left.
+    bool nothing_sent = false;
+
     /// Whether the connection must not carry another call.
     bool must_close = false;
 };
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -67,7 +67,10 @@
     this->close();
     if (this->call)
     {
-        this->complete({call_end::broken, {}, now() - this->call->sent});
+        this->complete(
+            {this->nothing_sent ? call_end::unsent : call_end::broken,
+             {},
+             now() - this->call->sent});
     }
     this->handlers.closed(self, this->connected);
 }
@@ -88,11 +91,12 @@
     const auto self = this->shared_from_this();
     boost::asio::async_write(
         this->socket, boost::asio::buffer(this->request_bytes),
-        [self](const boost::system::error_code& error, std::size_t)
+        [self](const boost::system::error_code& error, std::size_t written)
         {
             self->writing = false;
             if (error)
             {
+                self->nothing_sent = written == 0;
                 self->close();
             }
         });
--- a/test/not_run_test.cpp
+++ b/test/not_run_test.cpp
@@ -4,6 +4,7 @@
 #include "node/connection/link_codec.hpp"
 #include "node/process/delegate_links.hpp"
 #include "node_session_fixture.hpp"
+#include "target_pool_fixture.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -353,4 +354,37 @@
     CHECK(node.reports[1].has_value() == !written);
 }
 
+TEST_CASE("a call on a connection that breaks before its bytes leave is unsent")
+{
+    asio::io_context peer_context;
+    asio::ip::tcp::acceptor acceptor(peer_context,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{answer("body")}; });
+    replica one;
+    one.id = leaf_id("i-2");
+    one.service = service_name("s");
+    one.address = http_address(
+        fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port()));
+    one.slots = 4;
+    node.pool.set_replica(one);
+    node.context.run_for(10ms);
+    asio::ip::tcp::socket peer = acceptor.accept();
+    peer.set_option(asio::socket_base::linger(true, 0));
+    const bool sent_before = GENERATE(false, true);
+    if (sent_before)
+    {
+        node.start("one", false, 2s, "i-2");
+    }
+    peer.close();
+    if (!sent_before)
+    {
+        node.start("one", false, 2s, "i-2");
+    }
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end ==
+          (sent_before ? call_end::broken : call_end::unsent));
+}
+
 } // namespace
