Tell callers to return later the longer a configuration is missing

Callers of a host without a configuration were told to return after 160 to 640 ms however long it had had none, so those of a long outage came back too early, and callers with little time were told to wait for longer than they do.

Change: the wait grows with the time for which this host has been without a configuration, up to a third of the caller's time, and is drawn from the upper half of that.

Evidence: test/not_run_test.cpp, in virtual time, failed before: after 10 s without a configuration a caller with 6 s was told 168 ms, one with 90 ms 192 ms.

--- a/src/node/process/query_service.hpp
+++ b/src/node/process/query_service.hpp
@@ -26,7 +26,7 @@
 {
 public:
     explicit query_service(request_services<Runtime, Transport>& shared)
-        : shared(shared)
+        : shared(shared), unconfigured_since(to_instant(Runtime::clock::now()))
     {
     }
 
@@ -72,6 +72,9 @@
 
     request_services<Runtime, Transport>& shared;
     std::shared_ptr<const route_table> routes;
+
+    /// When this host began to wait for its first routes.
+    instant unconfigured_since;
     overload_gate gate;
 
     /// Longest caller timeout seen on each route, which is that of a first
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -20,14 +20,13 @@
     if (!table)
     {
         this->record_unrouted(*query, 503, "no_configuration");
+        const auto range = retry_after_configuration(
+            query->arrived - this->unconfigured_since,
+            query->caller_timeout.value_or(
+                retry_after_bounds::assumed_caller_timeout));
         co_return caller_reply{
-            503,
-            {},
-            "no configuration yet\n",
-            this->draw_retry_after(retry_after_bounds::after_failure) *
-                retry_after_bounds::startup_factor,
-            {},
-            {}};
+            503, {}, "no configuration yet\n", this->draw_retry_after(range),
+            {},  {}};
     }
     const std::string_view path =
         std::string_view(query->target).substr(0, query->target.find('?'));
--- a/src/node/process/retry_after.hpp
+++ b/src/node/process/retry_after.hpp
@@ -29,9 +29,15 @@
 inline constexpr retry_after_range after_overload{milliseconds(150),
                                                   milliseconds(500)};
 
-/// Factor on the wait while there is no configuration, as the host must reach
-/// the store or other hosts first.
-inline constexpr int startup_factor = 4;
+/// Least upper end of the wait while there is no configuration, as the host
+/// must reach the store or other hosts first.
+inline constexpr milliseconds min_configuration_wait{640};
+
+/// Callers wait for this share of the time that they have left at the most.
+inline constexpr int caller_wait_divisor = 3;
+
+/// Time that a caller is taken to have left if it does not say.
+inline constexpr milliseconds assumed_caller_timeout{1'500};
 
 /// Longest wait for a replica at its limit; another host may have room sooner.
 inline constexpr milliseconds max_room_wait{2'000};
@@ -54,4 +60,20 @@
     return {shortest, shortest + after_failure.longest};
 }
 
+/// Returns the range for a request that arrives `elapsed` after this host began
+/// to wait for a configuration. An outage that has lasted long is likely to
+/// last as long again, so the caller returns as late as it can.
+[[nodiscard]] inline retry_after_range
+retry_after_configuration(microseconds elapsed, milliseconds caller_timeout)
+{
+    using namespace retry_after_bounds;
+    const milliseconds longest_useful =
+        std::max(caller_timeout / caller_wait_divisor, after_failure.shortest);
+    const milliseconds longest =
+        std::min(std::max(std::chrono::duration_cast<milliseconds>(elapsed),
+                          min_configuration_wait),
+                 longest_useful);
+    return {longest / 2, longest};
+}
+
 } // namespace basilpath
--- a/test/not_run_test.cpp
+++ b/test/not_run_test.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -387,4 +388,51 @@
           (sent_before ? call_end::broken : call_end::unsent));
 }
 
+TEST_CASE("callers without a configuration return later the longer it lasts")
+{
+    constexpr milliseconds patience = 6'000ms;
+    node_session_fixture node;
+    node.queries.set_routes(nullptr);
+    const auto delays_at = [&node, patience](milliseconds time)
+    {
+        node.run.run_until(time);
+        node.replies.clear();
+        for (int i = 0; i < 50; ++i)
+        {
+            node.start("/one/x", patience);
+        }
+        node.run.run_until(time + 1ms);
+        REQUIRE(node.replies.size() == 50);
+        std::vector<milliseconds> delays;
+        std::ranges::transform(node.replies, std::back_inserter(delays),
+                               [](const caller_reply& one)
+                               { return one.retry_after.value_or(0ms); });
+        return std::ranges::minmax(delays);
+    };
+    const auto early = delays_at(100ms);
+    CHECK(early.min >= 300ms);
+    CHECK(early.max <= 650ms);
+    const auto late = delays_at(10s);
+    // No caller is told to wait for more than a third of its time.
+    CHECK(late.max <= patience / 3);
+    CHECK(late.min >= patience / 6);
+    // Callers that are refused together do not return together.
+    CHECK(late.max - late.min >= patience / 10);
+}
+
+TEST_CASE("a caller without a configuration is told to return in time")
+{
+    const milliseconds timeout = GENERATE(0ms, 90ms, 600ms, 1500ms);
+    node_session_fixture node;
+    node.queries.set_routes(nullptr);
+    node.run.run_until(20s);
+    node.start("/one/x", timeout);
+    node.run.run_until(21s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 503);
+    REQUIRE(node.replies[0].retry_after);
+    CHECK(*node.replies[0].retry_after > 0ms);
+    CHECK(*node.replies[0].retry_after <= std::max(timeout / 3, 40ms));
+}
+
 } // namespace
