--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -90,7 +90,9 @@
     asked.separate_reports = separate_reports;
     asked.soft_timeout =
         std::max(this->plan.cutoff - time - trip / 2, microseconds(0));
-    asked.timeout = std::max(this->plan.deadline - time, microseconds(0));
+    asked.timeout = std::max(this->plan.deadline - time - trip -
+                                 gather_bounds::report_margin,
+                             microseconds(0));
     asked.query = this->query;
     std::vector<std::size_t> numbers;
     for (const remote_choice& one : shards)
@@ -100,8 +102,7 @@
         numbers.push_back(one.shard);
         shard.may_arrive_merged =
             shard.may_arrive_merged || !asked.separate_reports;
-        shard.may_have_arrived_before = shard.may_have_arrived;
-        shard.may_have_arrived = true;
+        ++shard.arrivals;
         ++shard.sends;
         shard.hedge_at =
             time + this->plan.hedge_delay + trip + gather_bounds::report_margin;
@@ -234,9 +235,13 @@
     if (absent.why == missing_reason::not_sent)
     {
         --shard.sends;
-        shard.may_have_arrived = shard.may_have_arrived_before;
+        --shard.arrivals;
         shard.direct_only = true;
     }
+    if (absent.why == missing_reason::not_executed)
+    {
+        ++shard.refusals;
+    }
     if (absent.why == missing_reason::broken)
     {
         this->progress.note_broken(absent.replica);
