Hold back hedges while replicas have no slots to spare

When demand passed what replicas can serve, callers got half of the answers in time that the same replicas gave a moment before.

Cause: calls then wait for slots at the replicas, nearly every shard is late, and a hedge is sent for each. It takes the slot of another query's first call.

room_meter keeps the share of answers whose replica had calls waiting, for each group of services that are called together. A call that would run beside a pending one before the cutoff is held back while that share is high, or when the replica seems to have no free slot, and reconsidered every 20 ms until the cutoff. Retries of shards without a pending call, moves of calls that have not left the host, and replicas that report no load are as before.

--- a/src/node/process/gather_policy.cpp
+++ b/src/node/process/gather_policy.cpp
@@ -42,6 +42,17 @@
     return now >= plan.cutoff || now + expected <= plan.cutoff;
 }
 
+bool finds_room(const replica_health& health, instant now, bool room_scarce)
+{
+    if (!health.report_age(now))
+    {
+        return !room_scarce;
+    }
+    const double calls = static_cast<double>(health.outstanding()) +
+                         health.external_requests(now);
+    return !room_scarce && calls + 1.0 <= static_cast<double>(health.slots());
+}
+
 std::size_t parts_needed(const gather_rule& rule)
 {
     const double share =
--- a/src/node/process/gather_policy.hpp
+++ b/src/node/process/gather_policy.hpp
@@ -1,6 +1,7 @@
 /// Times at which a query over shards sends hedged calls and answers.
 #pragma once
 
+#include "node/process/replica_health.hpp"
 #include "node/version/route.hpp"
 #include "process/instant.hpp"
 
@@ -59,6 +60,18 @@
 [[nodiscard]] bool is_hedge_useful(const gather_plan& plan, instant now,
                                    microseconds expected);
 
+/// A hedge held back because no slot was free is reconsidered after this time;
+/// a slot becomes free within a request's time of some ten milliseconds.
+inline constexpr microseconds room_recheck_interval{20'000};
+
+/// Returns whether a second call before the cutoff finds a free slot at a
+/// replica. Needed when demand exceeds what the replicas can serve: the second
+/// call would take the slot of another query's first call. `room_scarce` tells
+/// of all replicas of the query; a replica that reports no load is taken to
+/// have room.
+[[nodiscard]] bool finds_room(const replica_health& health, instant now,
+                              bool room_scarce);
+
 /// Returns the minimum number of parts for an answer.
 [[nodiscard]] std::size_t parts_needed(const gather_rule& rule);
 
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -246,6 +246,8 @@
         static_cast<double>(this->targets.limited_replica_count());
     stats.cold_replicas =
         static_cast<double>(this->targets.cold_replica_count());
+    stats.scarce_groups =
+        static_cast<double>(this->targets.scarce_group_count());
     stats.limited_by_purpose = this->targets.limited_send_total();
     stats.configuration_version =
         this->routes ? static_cast<double>(this->routes->version().value) : 0;
--- a/src/node/process/request_log.cpp
+++ b/src/node/process/request_log.cpp
@@ -65,6 +65,15 @@
                    {"limited", one.unavailable.limited}});
         return;
     }
+    if (one.what == decision::no_room)
+    {
+        log_event(log_level::info, to_text(one.what),
+                  {{"request", id.value},
+                   {"at_us", offset},
+                   {"shard", one.shard},
+                   {"service", one.service.value}});
+        return;
+    }
     if (one.what == decision::delegate_lack)
     {
         log_event(log_level::info, to_text(one.what),
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -13,6 +13,7 @@
 #include "node/process/replica_entry.hpp"
 #include "node/process/replica_list.hpp"
 #include "node/process/replica_share.hpp"
+#include "node/process/room_meter.hpp"
 #include "node/process/route_latencies.hpp"
 #include "node/process/traffic_meter.hpp"
 #include "node/request/target_call.hpp"
@@ -25,6 +26,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -135,6 +137,13 @@
     /// Returns the recent latencies of a route's calls.
     [[nodiscard]] route_latency latency(const std::string& route) const;
 
+    /// Returns whether the replicas of a service and of those that are called
+    /// together with it have no slots to spare.
+    [[nodiscard]] bool room_is_scarce(const service_name& service) const;
+
+    /// Number of groups of services whose replicas have no slots to spare.
+    [[nodiscard]] std::size_t scarce_group_count() const;
+
     /// Returns the smallest number of connections that a replica of a shard
     /// accepts from all hosts together; zero when there is none.
     [[nodiscard]] std::size_t min_connection_limit() const;
@@ -189,6 +198,9 @@
                                                         instant time);
     void set_warmup(const entry_pointer& one, milliseconds left);
     [[nodiscard]] demand_group group_of(const service_name& service) const;
+    [[nodiscard]] const service_name&
+    first_of_group(const service_name& service) const;
+    void note_room(const entry& one, const replica_load& load, instant time);
     void on_closed(const entry_pointer& one,
                    const std::shared_ptr<connection>& ended, bool made);
     void sweep_entry(const entry_pointer& one, instant now);
@@ -211,6 +223,9 @@
     std::shared_ptr<cold_speed> cold_replica_speed =
         std::make_shared<cold_speed>();
     demand_meter demand;
+
+    /// By the first service of each group.
+    std::map<service_name, room_meter> room;
     limited_sends limited;
     std::shared_ptr<const route_table> table;
     std::set<service_name> shard_services;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -242,6 +243,37 @@
     return this->latencies.of(route);
 }
 
+template <target_codec Codec>
+bool target_pool<Codec>::room_is_scarce(const service_name& service) const
+{
+    const auto found = this->room.find(this->first_of_group(service));
+    return found != this->room.end() && found->second.scarce(now());
+}
+
+template <target_codec Codec>
+std::size_t target_pool<Codec>::scarce_group_count() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->room | std::views::values,
+        [time = now()](const room_meter& one) { return one.scarce(time); }));
+}
+
+// Records the load that a replica reports with an answer.
+template <target_codec Codec>
+void target_pool<Codec>::note_room(const entry& one, const replica_load& load,
+                                   instant time)
+{
+    const service_name& first = this->first_of_group(one.target.service);
+    room_meter& meter = this->room[first];
+    if (meter.note(load, time))
+    {
+        log_event(
+            log_level::info, meter.scarce(time) ? "room_scarce" : "room_spare",
+            {{"service", first.value},
+             {"waiting_share", fmt::format("{:.2f}", meter.waiting_share())}});
+    }
+}
+
 // Opens one more connection, which serves waiting calls once it is established.
 template <target_codec Codec>
 void target_pool<Codec>::open(const entry_pointer& one)
@@ -390,6 +422,10 @@
             this->limits.note_answer(one->target.id, result.reply.named_limit,
                                      good, call->sent, time);
             this->apply_limit(one);
+            if (result.reply.load)
+            {
+                this->note_room(*one, *result.reply.load, time);
+            }
         }
         if (good)
         {
--- a/src/node/process/target_pool_limits.ipp
+++ b/src/node/process/target_pool_limits.ipp
@@ -142,9 +142,15 @@
 template <target_codec Codec>
 demand_group target_pool<Codec>::group_of(const service_name& service) const
 {
-    const service_name& first =
-        this->table ? this->table->first_of_group(service) : service;
-    return demand_group_of(first.value);
+    return demand_group_of(this->first_of_group(service).value);
+}
+
+// Returns the first of the services that are called together with this one.
+template <target_codec Codec>
+const service_name&
+target_pool<Codec>::first_of_group(const service_name& service) const
+{
+    return this->table ? this->table->first_of_group(service) : service;
 }
 
 // Counts a send if the replica names a limit.
--- a/src/node/request/decision_trace.cpp
+++ b/src/node/request/decision_trace.cpp
@@ -21,11 +21,12 @@
 
 std::string_view to_text(decision what)
 {
-    static constexpr std::array<std::string_view, 16> names = {
-        "call_first",  "call_hedge",    "call_retry",      "no_replica",
-        "no_budget",   "call_answered", "call_failed",     "call_not_executed",
-        "call_broken", "call_unsent",   "call_taken_back", "gate_full",
-        "delegated",   "delegate_part", "delegate_lack",   "delegate_lost"};
+    static constexpr std::array<std::string_view, 17> names = {
+        "call_first",   "call_hedge",    "call_retry",      "no_replica",
+        "no_budget",    "call_answered", "call_failed",     "call_not_executed",
+        "call_broken",  "call_unsent",   "call_taken_back", "gate_full",
+        "no_room",      "delegated",     "delegate_part",   "delegate_lack",
+        "delegate_lost"};
     return names.at(static_cast<std::size_t>(what));
 }
 
--- a/src/node/request/decision_trace.hpp
+++ b/src/node/request/decision_trace.hpp
@@ -34,6 +34,7 @@
     unsent,        ///< the call could not be sent
     taken_back,    ///< cancelled unsent in favour of another replica
     gate_full,     ///< the limit of requests in progress is reached
+    no_room,       ///< a hedge was due, and no slot was free for it
     delegated,     ///< a host in another failure domain calls a replica there
     delegate_part, ///< that host sent the part
     delegate_lack, ///< that host has no part, or none yet
--- a/src/node/request/gather_session.hpp
+++ b/src/node/request/gather_session.hpp
@@ -106,6 +106,8 @@
     [[nodiscard]] placement_query placement(instant now) const;
     [[nodiscard]] std::size_t shards_with_replica();
     void call_replica(std::size_t number);
+    [[nodiscard]] bool lacks_room(std::size_t number,
+                                  const replica_health& health);
     void cancel_unsent(std::size_t number);
     void start_call(std::size_t number, const leaf_id& to);
     void choose_preferred_domain();
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -187,6 +187,12 @@
         shard.hedge_at = this->plan.cutoff;
         return;
     }
+    if (choice && this->lacks_room(number, *candidates[choice->index].health))
+    {
+        shard.hedge_at =
+            std::min(time + room_recheck_interval, this->plan.cutoff);
+        return;
+    }
     if (choice)
     {
         this->cancel_unsent(number);
@@ -234,6 +240,28 @@
     }
 }
 
+// Returns whether a call for a shard would run beside a pending one while no
+// slot is free for it. After the cutoff any answer is useful.
+template <runtime Runtime, target_transport Transport>
+bool gather_session<Runtime, Transport>::lacks_room(
+    std::size_t number, const replica_health& health)
+{
+    gather_shard& shard = this->progress.shard(number);
+    const instant time = this->now();
+    const service_name& service = this->rule.gather.shards[number];
+    if (!shard.next_runs_beside() || time >= this->plan.cutoff ||
+        finds_room(health, time, this->shared.targets.room_is_scarce(service)))
+    {
+        return false;
+    }
+    if (!std::exchange(shard.held_back, true))
+    {
+        this->trace.add(
+            no_call_record(decision::no_room, time, number, service, {}));
+    }
+    return true;
+}
+
 // Cancels the calls of a shard that still wait for a connection. They never
 // reach a replica, so that a call to another one does not count as a repeat.
 template <runtime Runtime, target_transport Transport>
@@ -377,7 +405,10 @@
         gather_shard& shard = this->progress.shard(i);
         if (this->progress.may_hedge(shard) && time >= shard.hedge_at)
         {
-            this->note_overdue(i, time);
+            if (!shard.held_back)
+            {
+                this->note_overdue(i, time);
+            }
             shard.hedge_at = this->plan.deadline;
             this->call_replica(i);
         }
--- a/src/node/request/gather_shard.hpp
+++ b/src/node/request/gather_shard.hpp
@@ -58,6 +58,18 @@
     /// Value of `may_have_arrived` before the last subquery was sent.
     bool may_have_arrived_before = false;
 
+    /// A hedge was due and held back, as no slot was free for it.
+    bool held_back = false;
+
+    /// Returns whether a further call would run beside a pending one. Calls
+    /// that wait on this host are cancelled first.
+    [[nodiscard]] bool next_runs_beside() const
+    {
+        return this->delegations > 0 ||
+               std::ranges::any_of(this->calls, [](const auto& call)
+                                   { return call->on_wire; });
+    }
+
     /// Returns whether no call or subquery is pending that could bring the
     /// part.
     [[nodiscard]] bool idle() const
--- a/src/node/request/target_transport.hpp
+++ b/src/node/request/target_transport.hpp
@@ -27,6 +27,9 @@
         transport.note_unplaced(service);
         transport.latency(route);
         transport.domain();
+        {
+            transport.room_is_scarce(service)
+        } -> std::same_as<bool>;
     };
 
 } // namespace basilpath
--- a/test/scripted_targets.hpp
+++ b/test/scripted_targets.hpp
@@ -140,6 +140,11 @@
 
     void note_unplaced(const service_name&) {}
 
+    [[nodiscard]] bool room_is_scarce(const service_name&) const
+    {
+        return this->scarce;
+    }
+
     [[nodiscard]] route_latency latency(const std::string&) const
     {
         return this->usual;
@@ -180,6 +185,9 @@
     route_latency usual{10ms, 20ms};
     std::size_t sent = 0;
 
+    /// Whether the replicas have no slots to spare.
+    bool scarce = false;
+
 private:
     /// A replica and its health.
     struct scripted_replica
