Check in the soak that evacuations and the rate of cold leafs are kept

The soak knew neither: leafs were never cold and no zone was evacuated. Faults evacuate zones, at times with leafs that became cold shortly before, and make leafs cold by surprise; checks hold EVAC for each host in touch and FAILBACK for all hosts together. A plant of each must be caught by the check of its name. The host of a connection is found by both its ends, as local ports repeat.

--- a/soak/limits.py
+++ b/soak/limits.py
@@ -8,6 +8,8 @@
 
 import os
 import pathlib
+import socket
+import sys
 import time
 
 CONTACT_S = 4.0
@@ -17,13 +19,20 @@
 SLACK = 5
 
 
-def host_of_connection(nodes, port):
+def end_in_proc(address, port):
+    """An end of a connection as /proc/net/tcp writes it."""
+    number = int.from_bytes(socket.inet_aton(address), sys.byteorder)
+    return f"{number:08X}:{port:04X}"
+
+
+def host_of_connection(nodes, local, remote):
     """Returns the node whose process holds the local end of a connection, or None."""
-    wanted = f":{port:04X}"
+    # Connections to other addresses may have the same local port.
+    ends = [end_in_proc(*local), end_in_proc(*remote)]
     inode = None
     for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[1].endswith(wanted) and not fields[2].endswith(":0000"):
+        if fields[1:3] == ends:
             inode = fields[9]
             break
     for node in nodes:
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -11,6 +11,7 @@
 import random
 import time
 
+from cold_leafs import SLOWDOWN, ColdLeaf
 from limits import NamedLimit, host_of_connection
 
 # Items a page of the store, few enough for many pages.
@@ -54,6 +55,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def ends_of(writer):
+    """The far and the near end of a connection."""
+    return writer.get_extra_info("peername"), writer.get_extra_info("sockname")
+
+
 class Server:
     """Serves connections on one address; can be stopped and restarted."""
 
@@ -80,6 +86,7 @@
                 head = await read_head(reader)
                 if head is None:
                     break
+                self.arrived(head[0], head[1], writer)
                 body = await read_body(reader, head[1])
                 if not await self.handle(head[0], head[1], body, writer):
                     break
@@ -89,6 +96,13 @@
             self.writers.discard(writer)
             writer.close()
 
+    def arrived(self, first, headers, writer):
+        """Called when the head of a request has arrived."""
+
+    @property
+    def is_listening(self):
+        return self.server is not None
+
     @property
     def address(self):
         return f"{self.host}:{self.port}"
@@ -194,6 +208,8 @@
         self.leaving_since = None
         self.last_taken = 0.0
         self.limit, self.limits = None, []
+        self.cold = ColdLeaf()
+        self.seq = 1
 
     @property
     def key(self):
@@ -201,8 +217,14 @@
 
     def entry(self, state="ready"):
         return {"backend": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1,
-                "born": 1}
+                "version": "v1", "slots": 2, "state": state,
+                "coldLeftMs": int(self.cold.left_s() * 1000), "seq": self.seq, "born": 1}
+
+    def write_entry(self):
+        """Writes the entry as a heartbeat does."""
+        self.seq += 1
+        state = "ready" if self.leaving_since is None else "draining"
+        self.world.store.put(self.key, self.entry(state))
 
     def signature(self, request):
         digest = hashlib.sha256(f"{request}/{self.id}/{self.world.seed}".encode())
@@ -224,11 +246,17 @@
         headers = [("X-Server-Load", f"{self.running},0,2,100")]
         return headers + [("Server-Limit", f"{self.limit.rate:g}")] if self.limit else headers
 
+    def arrived(self, first, headers, writer):
+        if first[1] != "/health" and headers.get("x-target-instance") != self.id:
+            return  # It gets 421.
+        self.cold.note_arrival()
+        self.world.evacuations.note_arrival(self, first[1], ends_of(writer))
+
     async def handle(self, first, headers, body, writer):
         limit = self.limit
         if not limit:
             return await self.answer(first, headers, body, writer)
-        node = host_of_connection(self.world.nodes, writer.get_extra_info("peername")[1])
+        node = host_of_connection(self.world.nodes, *ends_of(writer))
         for _ in range(50 if self.world.args.plant == "limit" else 1):
             limit.note_arrival(node)
         keep = await self.answer(first, headers, body, writer)
@@ -238,7 +266,10 @@
 
     async def answer(self, first, headers, body, writer):
         if first[1] == "/health":
-            writer.write(reply(200, b"", [("X-Instance-Id", self.id), *self.state_headers()]))
+            headers = [("X-Instance-Id", self.id), *self.state_headers()]
+            if self.cold.spans:
+                headers.append(("X-Cold-Ms", str(int(self.cold.left_s() * 1000))))
+            writer.write(reply(200, b"", headers))
             return True
         request = headers.get("x-request-id", "")
         if headers.get("x-target-instance") != self.id:
@@ -257,7 +288,8 @@
         self.running += 1
         try:
             async with self.slots:
-                await asyncio.sleep(self.work * (20 if fault == "slow" else 1))
+                work = self.work * (SLOWDOWN if self.cold.left_s() else 1)
+                await asyncio.sleep(work * (20 if fault == "slow" else 1))
         finally:
             self.running -= 1
         if fault == "silent":
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -20,7 +20,11 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import cold_leafs  # noqa: E402
 from callers import VERSIONS, Callers  # noqa: E402
+from cold_leafs import ColdFaults  # noqa: E402
+from evacuations import EVACUATE_S, EvacuationFaults, Evacuations  # noqa: E402
+from limits import CONTACT_S  # noqa: E402
 from platform_standin import Leaf, Store  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
@@ -54,6 +58,11 @@
 # Signals that a host may get besides, while it stops.
 SIGNALS_IN_A_STOP = [signal.SIGTERM, signal.SIGTERM, signal.SIGHUP]
 
+# Faults that belong to a run only if leafs have a rate while they are cold.
+COLD_KINDS = {"evacuate", "evacuate_cold", "leaf_cold"}
+# Plants that only the check of the same name may catch.
+NAMED_PLANTS = {"evac", "cold"}
+
 
 class Node:
     """One host: a process, its settings file and its proxy to the store."""
@@ -83,6 +92,9 @@
                 "limits": {"cpuShare": 1.0, "linkMbps": 1000.0, "memoryMb": world.args.memory_mb},
                 "bounds": {"drainMs": int(DRAIN_S * 1000), "graceS": GRACE_S,
                            "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 40,
+                           "contactMs": int(CONTACT_S * 1000),
+                           "evacuateMs": int(EVACUATE_S * 1000),
+                           "coldOverage": cold_leafs.OVERAGE, "coldSlack": cold_leafs.SLACK,
                            "ttl_max_s": 5},
                 "platform": {"address": f"{self.ip}:{self.proxy.port}"}}
 
@@ -122,7 +134,7 @@
         return self.process is not None and self.process.returncode is None
 
 
-class World:
+class World(EvacuationFaults, ColdFaults):
     """The environment of the nodes and the violations found."""
 
     def __init__(self, args, seed, folder):
@@ -141,7 +153,8 @@
         self.version, self.shard_sets = 0, {}
         self.violations = []
         self.next_leaf = 0
-        self.store_steady_since = time.monotonic()
+        self.store_steady_since, self.store_outages = time.monotonic(), []
+        self.evacuations, self.zones_taken = Evacuations(self), set()
         self.done = {}
         self.peak_memory_mb = 0.0
 
@@ -174,13 +187,15 @@
         records = b"".join(rng.randbytes(16) for _ in range(4))
         return records * (LARGE_BYTES // len(records)) if service == "large" else records
 
-    async def add_leaf(self, service, zone):
+    async def add_leaf(self, service, zone, starts_cold=False):
         self.next_leaf += 1
         leaf = Leaf(self, service, f"127.{self.net}.2.{self.next_leaf % 250 + 1}", zone, self.rng)
         await leaf.start()
         self.leafs.append(leaf)
         self.all_leafs.append(leaf)
         self.store.put(leaf.key, leaf.entry())
+        if starts_cold:
+            self.become_cold([leaf], is_known=True, writes_at_once=True)
         return leaf
 
     def put_configuration(self):
@@ -204,9 +219,12 @@
             dict(common, name="version", prefix="/version/", type="idempotent",
                  targetLatencyMs=200, backend=f"v{self.version % VERSIONS}")]
         names = set(services) | {"desk", "lookup", "large"} | {f"v{n}" for n in range(VERSIONS)}
+        cold = {"coldStartS": self.args.cold_start_s, "coldPerS": self.args.cold_per_s}
+        if not self.args.cold_per_s:
+            cold = {}
         self.store.put("op/config", {
             "version": self.version * 3, "routes": routes,
-            "backends": [{"name": name, "healthCheck": "/health", "maxConns": CONNECTIONS}
+            "backends": [dict(cold, name=name, healthCheck="/health", maxConns=CONNECTIONS)
                          for name in sorted(names)],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}})
@@ -313,12 +331,12 @@
         self.leafs.remove(leaf)
         await asyncio.sleep(self.rng.uniform(0.5, 2))
         self.store.delete(leaf.key)
-        (await self.add_leaf(leaf.service, leaf.zone)).work = leaf.work
+        (await self.add_leaf(leaf.service, leaf.zone, starts_cold=True)).work = leaf.work
         return "leaf lost"
 
     async def fault_leaf_leaves(self):
         leaf = self.rng.choice(self.leafs)
-        (await self.add_leaf(leaf.service, leaf.zone)).work = leaf.work
+        (await self.add_leaf(leaf.service, leaf.zone, starts_cold=True)).work = leaf.work
         self.store.put(leaf.key, leaf.entry("draining"))
         leaf.leaving_since = time.monotonic()
         self.leafs.remove(leaf)
@@ -330,9 +348,11 @@
     async def fault_store(self):
         self.store.mode = self.rng.choice(["silent", "reset", "busy"])
         self.store_steady_since = time.monotonic() + 60
+        begin = time.monotonic()
         await asyncio.sleep(self.rng.uniform(0.5, 3))
         mode, self.store.mode = self.store.mode, "up"
         self.store_steady_since = time.monotonic()
+        self.store_outages.append((begin, self.store_steady_since))
         return f"store {mode}"
 
     async def fault_odd_entry(self):
@@ -447,6 +467,8 @@
         self.until = until
         names = self.args.kinds.split(",") if self.args.kinds else sorted(
             name.removeprefix("fault_") for name in dir(self) if name.startswith("fault_"))
+        if not self.args.kinds and not self.args.cold_per_s:
+            names = [name for name in names if name not in COLD_KINDS]
         if self.args.planned:
             names = ["term", "terms", "hup", "config", "leaf_leaves", "leaf_hang"]
         kinds = [getattr(self, f"fault_{name}") for name in names]
@@ -549,6 +571,7 @@
     await world.stop()
     world.check_budget()
     world.check_limits()
+    world.check_cold(callers.stalls)
     callers.check_once()
     if args.planned:
         callers.check_lost()
@@ -556,12 +579,15 @@
         world.check_explained()
     verdict = "ok" if not world.violations else "BROKEN"
     print(f"seed {seed}: {verdict}; {callers.summary()}; faults {sum(world.done.values())}; "
-          f"limits {world.limits_checked}; memory {world.peak_memory_mb:.0f} MB; store calls {world.store.calls}", flush=True)
+          f"limits {world.limits_checked}; evacuations {world.evacuations.begun}, "
+          f"{world.evacuations.excused} requests excused; "
+          f"cold {sum(len(leaf.cold.spans) for leaf in world.all_leafs)}; "
+          f"memory {world.peak_memory_mb:.0f} MB; store calls {world.store.calls}", flush=True)
     if world.violations:
         print(f"  logs: {folder}", flush=True)
     else:
         shutil.rmtree(folder)
-    return not world.violations
+    return {promise for promise, _ in world.violations}
 
 
 def main():
@@ -577,18 +603,25 @@
     parser.add_argument("--planned", action="store_true", help="only planned operations, no faults")
     parser.add_argument("--kinds", help="comma-separated names of faults; default all")
     parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain", "limit", "lost",
-                                              "pipelined", "cut", "memory"],
+                                              "pipelined", "cut", "memory", "evac", "cold"],
                         help="inject a violation; the run must fail")
     parser.add_argument("--memory-mb", type=float, default=128.0,
                         help="memory that the settings allow a host, and that none may exceed")
+    parser.add_argument("--cold-per-s", type=float, default=0.0,
+                        help="requests a second that a cold leaf tolerates; 0: none is cold")
+    parser.add_argument("--cold-start-s", type=float, default=3.0,
+                        help="time for which leafs are cold")
     parser.add_argument("--ctl", help="path of basilpathctl; verifies that the logs "
                         "explain each failed request")
     args = parser.parse_args()
     args.program = str(pathlib.Path(args.program).resolve())
-    good = [asyncio.run(play(args, seed)) for seed in range(args.seed, args.seed + args.seeds)]
+    broken = [asyncio.run(play(args, seed)) for seed in range(args.seed, args.seed + args.seeds)]
+    good = [not promises for promises in broken]
     if args.plant:
-        print(f"planted {args.plant}: {'caught' if not any(good) else 'MISSED'}")
-        return 0 if not any(good) else 1
+        is_caught = not any(good) and (args.plant not in NAMED_PLANTS
+                                       or all(args.plant in promises for promises in broken))
+        print(f"planted {args.plant}: {'caught' if is_caught else 'MISSED'}")
+        return 0 if is_caught else 1
     print(f"{good.count(True)} passed, {good.count(False)} failed")
     return 0 if all(good) else 1
 
