--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -2,8 +2,10 @@
 """Tests of the checks of the soak, on made-up observations."""
 
 import asyncio
+import os
 import pathlib
 import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -13,8 +15,11 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 from callers import VERSION_SLACK_S, VERSIONS, Callers  # noqa: E402
+from cold_leafs import KNOWN_S, OVERAGE, SLACK, WINDOW_S, ColdLeaf, ColdSpan  # noqa: E402
+from evacuations import EVACUATE_S, PREFIX, Evacuations  # noqa: E402
+from limits import CONTACT_S, host_of_connection  # noqa: E402
 from pipelines import READ_SLACK_S, Unanswered  # noqa: E402
-from platform_standin import reply  # noqa: E402
+from platform_standin import Leaf, Store, reply  # noqa: E402
 import soak  # noqa: E402
 from soak import Node, World  # noqa: E402
 
@@ -212,6 +217,160 @@
         self.assertEqual(node.peak_memory_mb(), 0.0)
 
 
+class EvacuationCheck(unittest.TestCase):
+    """Nothing but what gets 421 arrives late at a leaf of an evacuated zone."""
+
+    def setUp(self):
+        self.violations = []
+        self.now = time.monotonic()
+        process = types.SimpleNamespace(pid=os.getpid())
+        self.node = Node.__new__(Node)
+        self.node.ip, self.node.started, self.node.disturbances = "host", self.now - 60, []
+        self.node.process, process.returncode = process, None
+        self.world = types.SimpleNamespace(
+            store=Store("127.0.0.1"), nodes=[self.node], store_steady_since=self.now - 60,
+            args=types.SimpleNamespace(plant=None), seed=1,
+            report_violation=lambda promise, what: self.violations.append(promise))
+        self.evacuations = self.world.evacuations = Evacuations(self.world)
+        self.leaf = Leaf(self.world, "desk", "127.0.0.1", "a", random.Random(1))
+        server = socket.create_server(("127.0.0.1", 0))
+        client = socket.create_connection(server.getsockname())
+        far = server.accept()[0]
+        for one in (server, client, far):
+            self.addCleanup(one.close)
+        self.writer = types.SimpleNamespace(get_extra_info=lambda name: {
+            "peername": client.getsockname(), "sockname": client.getpeername()}[name])
+
+    def arrive(self, path="/one/1", target=None, after=EVACUATE_S + 0.1):
+        """Lets a request arrive some time after the acknowledgement."""
+        if "a" in self.evacuations.acknowledged:
+            self.evacuations.acknowledged["a"] = time.monotonic() - after
+        self.leaf.arrived(["GET", path, "HTTP/1.1"],
+                          {"x-target-instance": target or self.leaf.id}, self.writer)
+        return self.violations
+
+    def test_a_late_request_is_found_and_an_early_one_is_allowed(self):
+        self.evacuations.begin("a", b"")
+        self.assertEqual(self.arrive(after=EVACUATE_S - 0.1), [])
+        self.assertEqual(self.arrive(), ["evac"])
+
+    def test_a_late_health_check_is_found(self):
+        self.evacuations.begin("a", b"{")
+        self.assertEqual(self.arrive("/health"), ["evac"])
+
+    def test_a_request_that_gets_421_is_allowed(self):
+        self.evacuations.begin("a", b"")
+        self.assertEqual(self.arrive(target="i-other"), [])
+
+    def test_requests_to_other_zones_and_after_the_end_are_allowed(self):
+        self.evacuations.begin("b", b"")
+        self.assertEqual(self.arrive(), [])
+        self.evacuations.begin("a", b"")
+        self.evacuations.end("a")
+        self.assertEqual(self.arrive(), [])
+        self.assertEqual(list(self.world.store.items), [PREFIX + "b"])
+
+    def test_writing_the_item_again_does_not_begin_anew(self):
+        self.evacuations.begin("a", b"")
+        began = self.evacuations.acknowledged["a"]
+        self.evacuations.rewrite("a", b"{}")
+        self.assertEqual(self.evacuations.acknowledged["a"], began)
+
+    def test_hosts_out_of_touch_are_excused_until_contact(self):
+        def restart(ago):
+            self.node.started = self.now - ago
+
+        def disturb(ago):
+            self.node.disturbances = [(self.now - 60, self.now - ago)]
+
+        def harm_store(ago):
+            self.world.store_steady_since = self.now - ago
+        for harm in (restart, disturb, harm_store):
+            self.setUp()
+            self.evacuations.begin("a", b"")
+            harm(CONTACT_S - 1)
+            self.assertEqual(self.arrive(), [], harm)
+            self.assertEqual(self.evacuations.excused, 1)
+            harm(CONTACT_S + 0.1)
+            self.assertEqual(self.arrive(), ["evac"], harm)
+
+    def test_a_connection_is_told_from_one_with_the_same_local_port(self):
+        ends = self.writer.get_extra_info("peername"), self.writer.get_extra_info("sockname")
+        self.assertIs(host_of_connection([self.node], *ends), self.node)
+        other = "127.0.0.1", 1
+        self.assertIsNone(host_of_connection([self.node], ends[0], other))
+
+
+class ColdCheck(unittest.TestCase):
+    """A cold leaf gets no more requests in a second than all hosts together may send."""
+
+    PER_S = 6
+    ALLOWED = int(PER_S * OVERAGE + SLACK)
+
+    def excess(self, arrivals, spans, outages=(), stalls=()):
+        leaf = ColdLeaf()
+        leaf.spans = [ColdSpan(*span) for span in spans]
+        for at in arrivals:
+            leaf.note_arrival(at)
+        return leaf.excess(self.PER_S, outages, stalls)
+
+    def test_one_request_too_many_in_any_second_is_found(self):
+        cold = [(100.0, 103.0, True)]
+        self.assertIsNone(self.excess([101.5] * self.ALLOWED, cold))
+        self.assertEqual(self.excess([101.5] * self.ALLOWED + [102.4], cold)[:2],
+                         (self.ALLOWED + 1, self.ALLOWED))
+        self.assertIsNone(
+            self.excess([101.5] * self.ALLOWED + [101.5 + WINDOW_S], cold))
+
+    def test_a_known_cold_leaf_counts_at_once_and_to_its_end(self):
+        cold = [(100.0, 103.0, True)]
+        many = self.ALLOWED + 1
+        self.assertIsNotNone(self.excess([100.0] * many, cold))
+        self.assertIsNotNone(self.excess([102.9] * many, cold))
+        self.assertIsNone(self.excess([103.1] * many, cold))
+
+    def test_a_surprise_counts_once_hosts_know(self):
+        cold = [(100.0, 106.0, False)]
+        many = self.ALLOWED + 1
+        self.assertIsNone(self.excess([100.0 + KNOWN_S - 0.1] * many, cold))
+        self.assertIsNotNone(self.excess([100.0 + KNOWN_S + 0.1] * many, cold))
+
+    def test_a_surprise_while_cold_does_not_excuse_what_was_known(self):
+        cold = [(100.0, 103.0, True), (102.0, 105.0, False)]
+        many = self.ALLOWED + 1
+        self.assertIsNotNone(self.excess([102.5] * many, cold))
+        self.assertIsNone(self.excess([103.5] * many, cold))
+        self.assertIsNotNone(self.excess([104.5] * many, cold))
+
+    def test_only_an_outage_of_the_store_puts_off_a_surprise(self):
+        cold = [(100.0, 110.0, False)]
+        many = self.ALLOWED + 1
+        outages = [(99.0, 101.0)]
+        self.assertIsNone(self.excess([104.9] * many, cold, outages))
+        self.assertIsNotNone(self.excess([105.1] * many, cold, outages))
+        self.assertIsNotNone(self.excess([104.9] * many, cold, [(50.0, 60.0)]))
+        self.assertIsNotNone(self.excess([102.5] * many, cold, [(102.1, 104.0)]))
+
+    def test_requests_that_waited_in_a_stall_count_when_they_may_have_been_sent(self):
+        cold = [(100.0, 106.0, True)]
+        early, late = [101.0] * self.ALLOWED, [101.9]
+        self.assertIsNotNone(self.excess(early + late, cold))
+        # The early ones may have been sent before the second that holds the late one.
+        self.assertIsNone(self.excess(early + late, cold, stalls=[(100.8, 101.0)]))
+        self.assertIsNotNone(self.excess(early + [101.0], cold, stalls=[(100.8, 101.0)]))
+
+    def test_the_entry_and_health_answers_tell_how_long_it_is_cold(self):
+        world = types.SimpleNamespace(store=Store("127.0.0.1"), nodes=[], seed=1)
+        leaf = Leaf(world, "desk", "127.0.0.1", "a", random.Random(1))
+        self.assertEqual(leaf.entry()["coldLeftMs"], 0)
+        leaf.cold.become_cold(3.0, is_known=False)
+        self.assertTrue(2500 < leaf.entry()["coldLeftMs"] <= 3000)
+        sent = []
+        asyncio.run(leaf.answer(["GET", "/health", "HTTP/1.1"], {}, b"",
+                                types.SimpleNamespace(write=sent.append)))
+        self.assertIn(b"X-Cold-Ms: 2", sent[0].replace(b"X-Cold-Ms: 3000", b"X-Cold-Ms: 2"))
+
+
 class StopCheck(unittest.TestCase):
     """A host that gets SIGTERM ends by itself, in time and without an error."""
 
