--- a/soak/soak.py
+++ b/soak/soak.py
@@ -193,9 +193,9 @@
         await leaf.start()
         self.leafs.append(leaf)
         self.all_leafs.append(leaf)
-        self.store.put(leaf.key, leaf.entry())
         if starts_cold:
-            self.become_cold([leaf], is_known=True, writes_at_once=True)
+            self.become_cold([leaf], is_known=True)
+        self.store.put(leaf.key, leaf.entry())
         return leaf
 
     def put_configuration(self):
