--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -30,6 +30,7 @@
         self.world = world
         self.acknowledged = {}
         self.begun = self.excused = 0
+        self.latest_s = 0.0
 
     def begin(self, zone, value):
         self.world.store.put_bytes(PREFIX + zone, value)
@@ -58,6 +59,8 @@
     def note_arrival(self, leaf, path, connection):
         """Verifies that a request with two ends of a connection may arrive at a leaf."""
         now = time.monotonic()
+        if leaf.zone in self.acknowledged:
+            self.latest_s = max(self.latest_s, now - self.acknowledged[leaf.zone])
         if not self.is_late(leaf.zone, now):
             return
         node = host_of_connection(self.world.nodes, *connection)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -580,7 +580,8 @@
     verdict = "ok" if not world.violations else "BROKEN"
     print(f"seed {seed}: {verdict}; {callers.summary()}; faults {sum(world.done.values())}; "
           f"limits {world.limits_checked}; evacuations {world.evacuations.begun}, "
-          f"{world.evacuations.excused} requests excused; "
+          f"last request after {world.evacuations.latest_s:.2f} s, "
+          f"{world.evacuations.excused} excused; "
           f"cold {sum(len(leaf.cold.spans) for leaf in world.all_leafs)}, "
           f"at most {world.most_while_cold} requests in a second; "
           f"memory {world.peak_memory_mb:.0f} MB; store calls {world.store.calls}", flush=True)
