--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -12,6 +12,7 @@
 import time
 import types
 import unittest
+from unittest import mock
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 from callers import VERSION_SLACK_S, VERSIONS, Callers  # noqa: E402
@@ -224,6 +225,9 @@
     def setUp(self):
         self.violations = []
         self.now = time.monotonic()
+        clock = mock.patch("evacuations.time", types.SimpleNamespace(monotonic=lambda: self.now))
+        clock.start()
+        self.addCleanup(clock.stop)
         process = types.SimpleNamespace(pid=os.getpid())
         self.node = Node.__new__(Node)
         self.node.ip, self.node.started, self.node.disturbances = "host", self.now - 60, []
@@ -245,7 +249,7 @@
     def arrive(self, path="/one/1", target=None, after=EVACUATE_S + 0.1):
         """Lets a request arrive some time after the acknowledgement."""
         if "a" in self.evacuations.acknowledged:
-            self.evacuations.acknowledged["a"] = time.monotonic() - after
+            self.evacuations.acknowledged["a"] = self.now - after
         self.leaf.arrived(["GET", path, "HTTP/1.1"],
                           {"x-target-instance": target or self.leaf.id}, self.writer)
         return self.violations
