Count what callers sent for look-ups and large answers against the budget

The platform's rule counts requests that clients sent on a route to a service, whether they arrived or not. The check did so for desk and the shards, and for look-ups and large answers counted only arrivals. Repeats beyond a fifth and 40 of what was sent are found as before.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -500,7 +500,8 @@
         """Requests that callers sent for a service, whether they arrived or not; None for
         services that not every configuration uses."""
         always_shards = [f"s{n}" for n in range(SHARDS - 1)]
-        kinds = {"desk": ("one", "order")} | {one: ("all",) for one in always_shards}
+        kinds = {"desk": ("one", "order"), "lookup": ("lookup",), "large": ("large",)}
+        kinds |= {one: ("all",) for one in always_shards}
         if service not in kinds:
             return None
         return sum(start <= at < end and kind in kinds[service] for at, kind in self.requests)
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -376,6 +376,27 @@
         self.assertIn(b"X-Cold-Ms: 2", sent[0].replace(b"X-Cold-Ms: 3000", b"X-Cold-Ms: 2"))
 
 
+class BudgetCheck(unittest.TestCase):
+    """A service gets no more repeats than a share of what callers sent for it, and a slack."""
+
+    def violations_of(self, service, kind, sent, repeats):
+        """Violations when of the requests that were sent only 100 arrive."""
+        world = World.__new__(World)
+        world.violations = []
+        world.requests = [(100.0, kind)] * sent
+        firsts = [(100.0, service, number) for number in range(100)]
+        world.arrivals = firsts + [(100.0, service, number % 100) for number in range(repeats)]
+        world.check_budget()
+        return [promise for promise, _ in world.violations]
+
+    def test_requests_count_whether_they_arrive_or_not(self):
+        for service, kind in [("lookup", "lookup"), ("large", "large"), ("desk", "order"),
+                              ("s0", "all")]:
+            self.assertEqual(self.violations_of(service, kind, 200, 80), [], service)
+            self.assertEqual(self.violations_of(service, kind, 200, 81), ["budget"], service)
+            self.assertEqual(self.violations_of(service, kind, 100, 61), ["budget"], service)
+
+
 class StopCheck(unittest.TestCase):
     """A host that gets SIGTERM ends by itself, in time and without an error."""
 
