--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -210,10 +210,14 @@
 
     def test_the_peak_of_a_process_is_read(self):
         node = Node.__new__(Node)
-        node.process = subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE,
-                                        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        node.process = subprocess.Popen([sys.executable, "-c", "input('ready')"],
+                                        stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+                                        stderr=subprocess.DEVNULL)
+        self.addCleanup(node.process.stdout.close)
         try:
-            self.assertGreater(node.peak_memory_mb(), 0.1)
+            # A process that has just been started has hardly any memory yet.
+            self.assertEqual(node.process.stdout.read(5), b"ready")
+            self.assertGreater(node.peak_memory_mb(), 1.0)
         finally:
             node.process.communicate(b"\n")
         self.assertEqual(node.peak_memory_mb(), 0.0)
