--- a/src/node/process/limit_bucket.hpp
+++ b/src/node/process/limit_bucket.hpp
@@ -1,4 +1,5 @@
-/// Paces the requests of this host to a replica that names a limit.
+/// Paces the requests of this host to a replica on whose requests a limit is in
+/// force.
 #pragma once
 
 #include "process/instant.hpp"
@@ -10,7 +11,7 @@
 {
 
 /// A token bucket; each request takes one token. It starts empty, since a
-/// replica names a limit when it gets too many requests.
+/// replica names a limit, or is cold, when it gets more requests than it bears.
 class limit_bucket
 {
 public:
--- a/src/node/process/placement.hpp
+++ b/src/node/process/placement.hpp
@@ -24,8 +24,8 @@
     /// such a replica is used only when there is no other.
     bool delisted = false;
 
-    /// This host's share of the limit that the replica names; null when it
-    /// names none.
+    /// This host's share of the limits in force on the replica; null when there
+    /// are none.
     const limit_bucket* limit = nullptr;
 
     /// Calls of this host that wait to be sent to the replica.
@@ -112,7 +112,7 @@
     std::size_t leaving = 0;
     std::size_t asked = 0;
 
-    /// At the limit that they name.
+    /// At a limit: the one that they name, or the one while they are cold.
     std::size_t limited = 0;
 
     /// Returns whether all replicas, at least one, are in evacuated domains.
--- a/src/node/version/replica.hpp
+++ b/src/node/version/replica.hpp
@@ -22,7 +22,8 @@
     /// It accepts no new requests.
     bool leaving = false;
 
-    /// Remaining time for which it is slow after its start.
+    /// Remaining time for which it is cold: slow, after its start or without
+    /// work.
     milliseconds warmup{0};
 
     /// Unix time of its start in milliseconds; zero when unknown.
--- a/test/scarce_room_test.cpp
+++ b/test/scarce_room_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -234,7 +235,9 @@
     crash_detector crashes{[](const suspected_crash&) {
     }};
     delegate_pool delegates{peer_address("a:1"),
-                            [](const peer_address&, const link_message&) {
+                            [](const peer_address&, const link_message&)
+                            {
+                                return std::nullopt;
                             }};
     request_services<virtual_runtime, queued_targets> shared{
         run, targets, budget, log, metrics, crashes, delegates};
