Explain past hedges that were held back, and name evacuations as a cause

basilpathctl explain took a hedge that was held back (no_room) for the last state of its shard and gave "no_room" as the cause of a missing part, where the first call was still awaited. It skips the line as it does no_budget.

test "a hedge held back for want of room leaves the first call the cause" failed before.

--- a/src/process/ctl_explain.cpp
+++ b/src/process/ctl_explain.cpp
@@ -44,7 +44,8 @@
     std::string text;
     for (const std::string_view key :
          {"service", "expected_us", "outstanding", "load_age_ms", "took_us",
-          "status", "known", "down", "leaving", "asked"})
+          "status", "known", "down", "leaving", "asked", "limited",
+          "evacuated"})
     {
         if (line.has(key))
         {
--- a/src/process/request_timeline.cpp
+++ b/src/process/request_timeline.cpp
@@ -77,13 +77,15 @@
         shard_course& course = courses[one.line.number("shard")];
         course.answered = course.answered || event == "call_answered" ||
                           event == "delegate_part";
-        // Without a budget or a replica for a repeat, an earlier call stays in
-        // progress.
+        // Without a budget, a replica or room for a repeat, an earlier call
+        // stays in progress.
         const bool waits = course.last_event.starts_with("call_first") ||
                            course.last_event.starts_with("call_hedge") ||
                            course.last_event.starts_with("call_retry") ||
                            course.last_event.starts_with("delegate");
-        if ((event == "no_budget" || event == "no_replica") && waits)
+        if ((event == "no_budget" || event == "no_replica" ||
+             event == "no_room") &&
+            waits)
         {
             continue;
         }
@@ -274,7 +276,8 @@
          {"overloaded", "more was asked than the replicas had room for"},
          {"replicas_at_limit",
           "the replicas were at the limits that they name"},
-         {"replicas_evacuated", "the operator evacuated their domain"},
+         {"replicas_evacuated",
+          "the operator evacuated the domains of the replicas"},
          {"host_stopping", "the host was stopping"},
          {"cut_waiting", "the host ended before it had answered"},
          {"cut_while_sending",
--- a/test/request_timeline_test.cpp
+++ b/test/request_timeline_test.cpp
@@ -163,6 +163,32 @@
           "the second replica (i-4)");
 }
 
+TEST_CASE("a hedge held back for want of room leaves the first call the cause")
+{
+    request_timeline timeline("r1");
+    feed(timeline, "a.log",
+         "event=call_first request=r1 at_us=1 shard=0 replica=i-1\n"
+         "event=no_room request=r1 at_us=30 shard=0 service=s\n"
+         "event=request request=r1 outcome=answered_partly status=200 "
+         "took_us=60 shards=2\n");
+    CHECK(only_cause(timeline) == "1 shard: no answer in time (i-1)");
+}
+
+TEST_CASE("the cause of a request of an evacuated service names the evacuation")
+{
+    request_timeline timeline("r1");
+    feed(timeline, "a.log",
+         "event=no_replica request=r1 at_us=30 shard=0 service=s known=3 "
+         "evacuated=3 down=0 leaving=0 asked=0 limited=0\n"
+         "event=request request=r1 outcome=replicas_evacuated status=503 "
+         "took_us=40 shards=0\n");
+    CHECK(only_cause(timeline) ==
+          "the operator evacuated the domains of the replicas; 1 call: no "
+          "replica could be "
+          "asked (3 known: 0 down, 0 leaving, 0 asked before, 3 in an "
+          "evacuated domain)");
+}
+
 TEST_CASE("a late answer names the call that it waited for")
 {
     request_timeline timeline("r1");
