--- a/test/early_answer_test.cpp
+++ b/test/early_answer_test.cpp
@@ -20,7 +20,7 @@
 
 std::shared_ptr<caller_query> long_query(const std::string& id)
 {
-    const auto query = pool_fixture::query(id);
+    auto query = pool_fixture::query(id);
     query->method = "POST";
     query->body = std::string(long_body, 'b');
     return query;
--- a/test/evacuation_test.cpp
+++ b/test/evacuation_test.cpp
@@ -121,10 +121,9 @@
             return raw_action{answers ? answer("late") : "", false};
         });
     // Four slots; the fifth call waits.
-    std::vector<std::shared_ptr<target_call>> calls;
     for (int i = 0; i < 5; ++i)
     {
-        calls.push_back(node.start("call-" + std::to_string(i)));
+        node.start("call-" + std::to_string(i));
     }
     node.run([&node] { return node.server.reads.size() >= 4; });
     REQUIRE(node.server.reads.size() == 4);
