Log which connection carried a call, and answers that come before a request is sent

No line told whether a connection was used again after an early answer, so the hypotheses (reuse behind a pending write, behind a body that only the kernel has taken, a stray answer, another program) could not be told apart.

answer_before_request_sent names the request, the replica, the connection by its local port, how many calls it has carried and how many bytes the kernel had taken. The lines on the result of a call name connection and number as well, so that two requests on one connection can be found.

--- a/src/node/connection/socket_options.cpp
+++ b/src/node/connection/socket_options.cpp
@@ -34,6 +34,13 @@
     return microseconds(failed != 0 ? 0 : info.tcpi_rtt);
 }
 
+std::uint16_t local_port(const boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code error;
+    const auto end = socket.local_endpoint(error);
+    return error ? std::uint16_t{0} : end.port();
+}
+
 std::optional<std::size_t>
 unacknowledged_bytes(boost::asio::ip::tcp::socket& socket)
 {
--- a/src/node/connection/socket_options.hpp
+++ b/src/node/connection/socket_options.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace basilpath
@@ -21,6 +22,10 @@
 /// Returns the kernel's smoothed round-trip time; zero when it has none.
 [[nodiscard]] microseconds round_trip(boost::asio::ip::tcp::socket& socket);
 
+/// Returns the port of this end; zero when the socket is not connected.
+[[nodiscard]] std::uint16_t
+local_port(const boost::asio::ip::tcp::socket& socket);
+
 /// Returns the number of bytes that were written and that the peer has not
 /// acknowledged; nothing when the kernel does not report it.
 [[nodiscard]] std::optional<std::size_t>
--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -95,6 +95,7 @@
     void parse_eof();
     bool finish_response();
     bool charge_memory();
+    void log_early_answer(const target_reply& reply) const;
     void complete(target_result result);
     void start_parser();
     static instant now();
@@ -112,6 +113,10 @@
 
     /// Must not change while `writing`.
     std::string request_bytes;
+
+    /// How many of them the kernel has taken.
+    std::size_t sent_bytes = 0;
+    connection_use use;
     instant idle_or_connecting_since{};
     milliseconds replica_keep_alive;
     bool connected = false;
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -3,6 +3,7 @@
 #include "process/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -60,6 +61,7 @@
     {
         set_no_delay(this->socket);
         this->connected = true;
+        this->use.local_port = local_port(this->socket);
         this->idle_or_connecting_since = now();
         this->handlers.ready(self);
         co_await this->read();
@@ -88,9 +90,15 @@
     this->request_bytes = Codec::encode_call(*this->call, timeout);
     this->handlers.bytes_transferred(this->request_bytes.size());
     this->writing = true;
+    ++this->use.calls;
     const auto self = this->shared_from_this();
     boost::asio::async_write(
         this->socket, boost::asio::buffer(this->request_bytes),
+        [self](const boost::system::error_code& error, std::size_t sent)
+        {
+            self->sent_bytes = sent;
+            return boost::asio::transfer_all()(error, sent);
+        },
         [self](const boost::system::error_code& error, std::size_t written)
         {
             self->writing = false;
@@ -245,6 +253,10 @@
                    {"bytes", reply.body.size()}});
         return false; // Not from the replica, or the rest of its head is lost.
     }
+    if (this->writing)
+    {
+        this->log_early_answer(reply);
+    }
     // A replica may answer before it has read the request: the rest would
     // arrive in front of the next one.
     this->must_close =
@@ -263,10 +275,24 @@
     return reusable;
 }
 
+template <target_codec Codec>
+void target_connection<Codec>::log_early_answer(const target_reply& reply) const
+{
+    log_event(log_level::info, "answer_before_request_sent",
+              {{"request", this->call->query->id.value},
+               {"replica", this->call->to.value},
+               {"connection", this->use.local_port},
+               {"connection_calls", this->use.calls},
+               {"status", reply.status},
+               {"sent_bytes", this->sent_bytes},
+               {"request_bytes", this->request_bytes.size()}});
+}
+
 template <target_codec Codec>
 void target_connection<Codec>::complete(target_result result)
 {
     const auto ended = std::exchange(this->call, nullptr);
+    result.connection = this->use;
     this->charge.reset();
     this->idle_or_connecting_since = now();
     this->handlers.result(ended, std::move(result));
--- a/src/node/process/request_log.cpp
+++ b/src/node/process/request_log.cpp
@@ -110,7 +110,9 @@
                {"shard", one.shard},
                {"replica", one.replica.value},
                {"took_us", one.time.count()},
-               {"status", one.number}});
+               {"status", one.number},
+               {"connection", one.connection.local_port},
+               {"connection_calls", one.connection.calls}});
 }
 
 } // namespace
--- a/src/node/request/decision_trace.cpp
+++ b/src/node/request/decision_trace.cpp
@@ -50,6 +50,7 @@
     record.replica = call ? call->to : leaf_id{};
     record.time = result.latency;
     record.number = result.reply.status;
+    record.connection = result.connection;
     return record;
 }
 
--- a/src/node/request/decision_trace.hpp
+++ b/src/node/request/decision_trace.hpp
@@ -64,6 +64,9 @@
     /// HTTP status. For a full gate: requests in progress.
     unsigned number = 0;
 
+    /// For a result: the connection that carried the call.
+    connection_use connection;
+
     /// For `delegate_lack`: why the host has no part.
     missing_reason absent = missing_reason::waiting;
 
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -92,6 +92,17 @@
     broken    ///< sent, perhaps run; no whole answer arrived
 };
 
+/// The connection that carried a call.
+struct connection_use
+{
+    /// Its local port, which names it in the logs of both ends; zero when no
+    /// connection carried the call.
+    std::uint16_t local_port = 0;
+
+    /// Number of calls that it has carried, this one included.
+    std::uint64_t calls = 0;
+};
+
 /// Result of a call.
 struct target_result
 {
@@ -100,6 +111,8 @@
 
     /// Time from sending the call to its end.
     microseconds latency{0};
+
+    connection_use connection;
 };
 
 /// A pending call, shared by the session that waits for its result and the
