Close a connection whose request was answered before it was received

A request could be sent on a connection on which a replica had rejected a long request early and read no further: it waited until the replica read on, or broke when the replica closed the connection.

A write ends when the kernel has taken the bytes; a send buffer of loopback holds 300 kB, so the connection counted as idle with most of the body undelivered.

An answer acknowledges all that had arrived before it, so bytes that are still unacknowledged when it has been read had not been received. Requests up to the initial window of TCP are not asked about, so short calls cost nothing more.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -95,7 +95,9 @@
     void parse_eof();
     bool finish_response();
     bool charge_memory();
-    void log_early_answer(const target_reply& reply) const;
+    [[nodiscard]] std::size_t undelivered_bytes();
+    void log_early_answer(const target_reply& reply,
+                          std::size_t undelivered) const;
     void complete(target_result result);
     void start_parser();
     static instant now();
@@ -114,7 +116,7 @@
     /// Must not change while `writing`.
     std::string request_bytes;
 
-    /// How many of them the kernel has taken.
+    /// Number of them that the kernel has taken.
     std::size_t sent_bytes = 0;
     connection_use use;
     instant idle_or_connecting_since{};
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -35,6 +35,10 @@
 /// answers arrive. Open connections bound the sum.
 inline constexpr std::size_t memory_allowance = buffer_limit;
 
+/// A request of at most this size leaves in one flight with its head (RFC 6928:
+/// ten segments), so that no replica answers before its end is on the way.
+inline constexpr std::size_t initial_window = 14'600;
+
 /// Used when the replica sends no Keep-Alive timeout.
 inline constexpr milliseconds default_keep_alive_timeout{4'000};
 
@@ -102,6 +106,7 @@
         [self](const boost::system::error_code& error, std::size_t written)
         {
             self->writing = false;
+            self->sent_bytes = written;
             if (error)
             {
                 self->nothing_sent = written == 0;
@@ -253,14 +258,15 @@
                    {"bytes", reply.body.size()}});
         return false; // Not from the replica, or the rest of its head is lost.
     }
-    if (this->writing)
+    // A replica may answer before it has received the request: the rest would
+    // arrive in front of the next one, which waits until the replica reads on.
+    const std::size_t undelivered = this->undelivered_bytes();
+    if (undelivered > 0)
     {
-        this->log_early_answer(reply);
+        this->log_early_answer(reply, undelivered);
     }
-    // A replica may answer before it has read the request: the rest would
-    // arrive in front of the next one.
     this->must_close =
-        this->must_close || !has_length || !keep || this->writing;
+        this->must_close || !has_length || !keep || undelivered > 0;
     if (reply.keep_alive_timeout)
     {
         this->replica_keep_alive = *reply.keep_alive_timeout;
@@ -275,8 +281,22 @@
     return reusable;
 }
 
+// Returns how many bytes of the request had not reached the replica when it
+// answered. Its answer acknowledges all that had.
+template <target_codec Codec>
+std::size_t target_connection<Codec>::undelivered_bytes()
+{
+    const std::size_t unsent = this->request_bytes.size() - this->sent_bytes;
+    if (this->request_bytes.size() <= target_connection_limits::initial_window)
+    {
+        return unsent;
+    }
+    return unsent + unacknowledged_bytes(this->socket).value_or(0);
+}
+
 template <target_codec Codec>
-void target_connection<Codec>::log_early_answer(const target_reply& reply) const
+void target_connection<Codec>::log_early_answer(const target_reply& reply,
+                                                std::size_t undelivered) const
 {
     log_event(log_level::info, "answer_before_request_sent",
               {{"request", this->call->query->id.value},
@@ -284,7 +304,7 @@
                {"connection", this->use.local_port},
                {"connection_calls", this->use.calls},
                {"status", reply.status},
-               {"sent_bytes", this->sent_bytes},
+               {"undelivered_bytes", undelivered},
                {"request_bytes", this->request_bytes.size()}});
 }
 
--- /dev/null
+++ b/test/connection_reuse_test.cpp
@@ -0,0 +1,69 @@
+/// When a connection to a replica may carry another call.
+#include "stepwise_server.hpp"
+#include "target_pool_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace
+{
+
+using namespace basilpath;
+using namespace basilpath::test;
+using namespace std::chrono_literals;
+
+// Fits into the send buffer of loopback, not into the receive buffer.
+constexpr std::size_t body_of_one_buffer = 300'000;
+
+std::shared_ptr<caller_query> post(const std::string& id, std::size_t bytes)
+{
+    const auto query = pool_fixture::query(id);
+    query->method = "POST";
+    query->body = std::string(bytes, 'b');
+    return query;
+}
+
+const std::string early_rejection =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+// Guards against a call that waits behind a body that its replica has rejected
+// and does not read: the kernel had taken the request, so the connection looked
+// idle.
+TEST_CASE("a call does not follow a request that was answered early and sent "
+          "whole")
+{
+    stepwise_server replica;
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{}; });
+    node.add_replica("i-2", replica.address());
+    node.start(post("one", body_of_one_buffer), false, 10s, "i-2");
+    // The kernel takes the request while nobody reads it.
+    for (int i = 0; i < 50; ++i)
+    {
+        node.context.run_for(2ms);
+    }
+    auto first = replica.accept();
+    stepwise_server::read_head(first);
+    stepwise_server::send(first, early_rejection);
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].reply.status == 503);
+
+    const auto two = node.start("two", false, 10s, "i-2");
+    std::optional<stepwise_server::connection> second;
+    node.run(
+        [&]
+        {
+            second = replica.try_accept();
+            return second || two->on_wire;
+        });
+    REQUIRE(second);
+}
+
+} // namespace
--- a/test/target_pool_fixture.hpp
+++ b/test/target_pool_fixture.hpp
@@ -39,11 +39,16 @@
     }
 
     void add_replica(const std::string& id, const raw_server& at)
+    {
+        this->add_replica(id, at.address());
+    }
+
+    void add_replica(const std::string& id, const std::string& address)
     {
         replica one;
         one.id = leaf_id(id);
         one.service = service_name("s");
-        one.address = http_address(at.address());
+        one.address = http_address(address);
         one.slots = 4;
         this->pool.set_replica(one);
     }
