Count a connection that must be closed as busy

A call sent while a result is reported went out on the connection of that result, although it was about to be closed, and ended as broken.

Whether bytes stand behind the answer was taken into account only after the result had been reported.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -56,12 +56,12 @@
     /// as `call_end::unsent` when none of its bytes can have left.
     void close();
 
-    /// Returns whether the connection is established, carries no call and has
-    /// sent the last one whole.
+    /// Returns whether the connection is established, carries no call and may
+    /// carry another one.
     [[nodiscard]] bool idle() const
     {
         return this->connected && !this->call && !this->writing &&
-               this->socket.is_open();
+               !this->must_close && this->socket.is_open();
     }
 
     [[nodiscard]] const std::shared_ptr<target_call>& carried() const
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -265,20 +265,23 @@
     {
         this->log_early_answer(reply, undelivered);
     }
-    this->must_close =
-        this->must_close || !has_length || !keep || undelivered > 0;
+    this->must_close = this->must_close || !has_length || !keep ||
+                       undelivered > 0 || this->buffer.size() > 0;
     if (reply.keep_alive_timeout)
     {
         this->replica_keep_alive = *reply.keep_alive_timeout;
     }
     const microseconds latency = now() - this->call->sent;
-    const bool reusable = !this->must_close && this->buffer.size() == 0;
     this->complete({call_end::answered, std::move(reply), latency});
-    if (reusable && this->socket.is_open())
+    if (this->must_close)
+    {
+        return false;
+    }
+    if (this->socket.is_open())
     {
         this->handlers.ready(this->shared_from_this());
     }
-    return reusable;
+    return true;
 }
 
 // Returns how many bytes of the request had not reached the replica when it
--- a/test/connection_reuse_test.cpp
+++ b/test/connection_reuse_test.cpp
@@ -66,4 +66,30 @@
     REQUIRE(second);
 }
 
+// Guards against a call on a connection that is closed as soon as the result of
+// the call before has been reported.
+TEST_CASE("a call that is made when a result is reported gets a connection "
+          "that stays open")
+{
+    const std::string begin =
+        "HTTP/1.1 200 OK\r\nX-Response-Signature: sig\r\n";
+    const std::string first = GENERATE_COPY(
+        as<std::string>{},
+        begin + "Connection: close\r\nContent-Length: 3\r\n\r\none",
+        begin + "Content-Length: 3\r\n\r\none" + answer("extra"));
+    pool_fixture node(
+        [first](const std::string&, std::size_t connection)
+        { return raw_action{connection == 0 ? first : answer("second")}; });
+    const auto call = node.start("one");
+    call->done = [&node, done = call->done](target_result result)
+    {
+        done(std::move(result));
+        node.start("two");
+    };
+    node.await_results(2);
+    REQUIRE(node.results.size() == 2);
+    CHECK(node.results[1].end == call_end::answered);
+    CHECK(node.results[1].reply.body == "second");
+}
+
 } // namespace
