Send no call on a connection that holds unread bytes

Bytes that a replica had sent on an idle connection were taken as the answer to the next call, when it was sent before they were read: a rejection without an id then says "not run" of a request that runs, and other bytes break a call.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -64,6 +64,14 @@
                !this->must_close && this->socket.is_open();
     }
 
+    /// Returns whether bytes have arrived that have not been read. On an idle
+    /// connection they answer no call.
+    [[nodiscard]] bool has_unread_bytes() const
+    {
+        boost::system::error_code error;
+        return this->socket.available(error) > 0;
+    }
+
     [[nodiscard]] const std::shared_ptr<target_call>& carried() const
     {
         return this->call;
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -89,13 +89,17 @@
     }
 
     /// Returns a connection without a call that has been idle for less than
-    /// `max_idle`, or null.
+    /// `max_idle`, or null. One with unread bytes is about to be closed.
     [[nodiscard]] std::shared_ptr<connection>
     idle_connection(instant now, microseconds max_idle) const
     {
         const auto found = std::ranges::find_if(
-            this->connections, [&](const auto& open)
-            { return open->idle() && now - open->state_since() < max_idle; });
+            this->connections,
+            [&](const auto& open)
+            {
+                return open->idle() && now - open->state_since() < max_idle &&
+                       !open->has_unread_bytes();
+            });
         return found == this->connections.end() ? nullptr : *found;
     }
 
--- a/test/connection_reuse_test.cpp
+++ b/test/connection_reuse_test.cpp
@@ -20,6 +20,9 @@
 // Fits into the send buffer of loopback, not into the receive buffer.
 constexpr std::size_t body_of_one_buffer = 300'000;
 
+// More than the socket buffers of loopback hold.
+constexpr std::size_t body_of_all_buffers = 24'000'000;
+
 std::shared_ptr<caller_query> post(const std::string& id, std::size_t bytes)
 {
     const auto query = pool_fixture::query(id);
@@ -92,4 +95,70 @@
     CHECK(node.results[1].reply.body == "second");
 }
 
+// Guards against an answer that arrived before the call was sent and is taken
+// as its answer.
+TEST_CASE("bytes that arrive on an idle connection do not answer the next call")
+{
+    stepwise_server replica;
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{}; });
+    node.add_replica("i-2", replica.address());
+    const auto one = node.start("one", false, 2s, "i-2");
+    node.run([&one] { return one->on_wire; });
+    auto first = replica.accept();
+    stepwise_server::read_head(first);
+    stepwise_server::send(first, answer("first"));
+    node.await_results(1);
+
+    stepwise_server::send(first, early_rejection);
+    node.start("two", false, 2s, "i-2");
+    std::optional<stepwise_server::connection> second;
+    node.run(
+        [&]
+        {
+            second = replica.try_accept();
+            return second || node.results.size() > 1;
+        });
+    REQUIRE(second);
+    stepwise_server::read_head(*second);
+    stepwise_server::send(*second, answer("second"));
+    node.await_results(2);
+    REQUIRE(node.results.size() == 2);
+    CHECK(node.results[1].reply.body == "second");
+}
+
+// The memory of a request is in use while it is sent, so these run under an
+// address sanitizer as well.
+TEST_CASE("a connection that is closed while it sends ends its call once")
+{
+    const bool by_replica = GENERATE(false, true);
+    pool_fixture node(
+        [by_replica](const std::string&, std::size_t connection)
+        {
+            if (connection > 0)
+            {
+                return raw_action{answer("second")};
+            }
+            return by_replica ? raw_action{"", false, true}
+                              : raw_action{"", false, false, true};
+        });
+    const auto call = node.start(post("one", body_of_all_buffers));
+    node.run([&node] { return !node.server.reads.empty(); });
+    if (!by_replica)
+    {
+        node.pool.abandon(call, 0ms);
+        node.run([&call] { return !call->on_wire || call.use_count() == 1; });
+        CHECK(call.use_count() == 1);
+    }
+    node.start("two");
+    const std::size_t expected = by_replica ? 2 : 1;
+    node.await_results(expected);
+    REQUIRE(node.results.size() == expected);
+    CHECK(node.results.back().reply.body == "second");
+    if (by_replica)
+    {
+        CHECK(node.results.front().end == call_end::broken);
+    }
+}
+
 } // namespace
