Take no bytes that came before a request as its response from the store

A second copy of a response that arrived between two requests of the client of the store, of other hosts' views and of health checks became the response to the next request, one page or revision behind.

--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -46,6 +46,10 @@
 node_http_client::get(std::string target, milliseconds timeout)
 {
     this->too_long = false;
+    if (this->connected && this->has_unread_bytes())
+    {
+        this->close(); // They are no answer to this request.
+    }
     if (!this->connected)
     {
         const bool made = co_await this->connect(timeout);
@@ -82,6 +86,12 @@
     co_return response;
 }
 
+bool node_http_client::has_unread_bytes()
+{
+    boost::system::error_code error;
+    return this->stream.socket().available(error) > 0;
+}
+
 void node_http_client::close()
 {
     this->connected = false;
--- a/src/node/connection/http_client.hpp
+++ b/src/node/connection/http_client.hpp
@@ -51,6 +51,7 @@
 
 private:
     boost::asio::awaitable<bool> connect(milliseconds timeout);
+    [[nodiscard]] bool has_unread_bytes();
     std::optional<http_response> close_with_error(std::string reason);
 
     http_address address;
--- a/test/node_client_test.cpp
+++ b/test/node_client_test.cpp
@@ -1,6 +1,7 @@
 /// The client of the store, of other hosts and of health checks.
 #include "node/connection/http_client.hpp"
 #include "raw_server.hpp"
+#include "stepwise_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
@@ -10,6 +11,7 @@
 #include <exception>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -75,6 +77,59 @@
     CHECK(response->body() == body);
 }
 
+// Guards against a response that arrived before the request was sent and is
+// taken as its response.
+TEST_CASE("bytes that arrive on an idle connection are no response")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    stepwise_server store;
+    boost::asio::io_context context;
+    node_http_client client(context.get_executor(),
+                            http_address(store.address()));
+    std::vector<std::string> bodies;
+    const auto get = [&]
+    {
+        boost::asio::co_spawn(
+            context, client.get("/x", 10s),
+            [&bodies](const std::exception_ptr&,
+                      const std::optional<http_response>& read)
+            { bodies.push_back(read ? read->body() : "none"); });
+    };
+    const auto run_until = [&context](const auto& done)
+    {
+        for (int i = 0; i < 5000 && !done(); ++i)
+        {
+            context.restart();
+            context.run_for(2ms);
+        }
+    };
+    get();
+    std::optional<stepwise_server::connection> first;
+    run_until(
+        [&]
+        {
+            first = store.try_accept();
+            return first.has_value();
+        });
+    REQUIRE(first);
+    stepwise_server::send(*first, ok + "first");
+    run_until([&bodies] { return bodies.size() == 1; });
+
+    stepwise_server::send(*first, ok + "stray");
+    get();
+    std::optional<stepwise_server::connection> second;
+    run_until(
+        [&]
+        {
+            second = store.try_accept();
+            return second || bodies.size() > 1;
+        });
+    REQUIRE(second);
+    stepwise_server::send(*second, ok + "other");
+    run_until([&bodies] { return bodies.size() == 2; });
+    CHECK(bodies == std::vector<std::string>{"first", "other"});
+}
+
 // Guards against a response that is taken as whole although its connection
 // ended in the middle.
 TEST_CASE("a response that ends in its head or body fails the request")
