Test that an early rejection leaves no rest of its request with libcurl

The older programs call replicas through libcurl, which closes a connection on which a request is rejected before it has been sent whole.

--- a/test/leaf_client_test.cpp
+++ b/test/leaf_client_test.cpp
@@ -1,5 +1,6 @@
 #include "connection/leaf_client.hpp"
 #include "connection/leaf_state.hpp"
+#include "raw_server.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -15,12 +16,18 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <exception>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace
 {
 
 using namespace basilpath;
+using namespace basilpath::test;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
@@ -170,6 +177,69 @@
     CHECK(read_after_dead_reply(false) > 2);
 }
 
+// Guards against a connection that is used again while the rest of a rejected
+// request is still to be sent on it.
+TEST_CASE(
+    "a request that is rejected before it is sent whole is the last on its "
+    "connection of the HTTP library")
+{
+    constexpr std::size_t long_body = 24'000'000;
+    boost::asio::io_context context(1);
+    std::map<std::size_t, std::string> received;
+    raw_server server(
+        context,
+        [&received](const std::string& read, std::size_t connection)
+        {
+            const bool first = received[connection].empty();
+            received[connection] += read;
+            if (connection > 0)
+            {
+                return raw_action{"HTTP/1.1 200 OK\r\n"
+                                  "Content-Length: 2\r\n\r\n{}"};
+            }
+            return raw_action{first ? "HTTP/1.1 503 Service Unavailable\r\n"
+                                      "Content-Length: 0\r\n\r\n"
+                                    : "",
+                              false, false, true};
+        });
+    leaf_client client(context);
+    leaf_state leaf(leaf_id("a"));
+    leaf.address = http_address(server.address());
+    leaf.connection_limit = 4;
+    std::vector<http_reply> replies;
+    const auto post = [&](std::string body)
+    {
+        http_request request;
+        request.url = "/v1/leaf";
+        request.body = std::move(body);
+        request.timeout = 10s;
+        boost::asio::co_spawn(
+            context, client.send(leaf, std::move(request)),
+            [&replies](const std::exception_ptr&, http_reply reply)
+            { replies.push_back(std::move(reply)); });
+    };
+    post(std::string(long_body, 'b'));
+    while (replies.empty())
+    {
+        context.run_one();
+    }
+    post("short");
+    while (replies.size() < 2)
+    {
+        context.run_one();
+    }
+    server.read_on = true;
+    while (server.ended == 0)
+    {
+        context.run_one();
+    }
+    CHECK(replies[0].status == 503);
+    CHECK(replies[1].status == 200);
+    const std::string& rest = received[0];
+    const std::size_t body = rest.find("\r\n\r\n") + 4;
+    CHECK(rest.find_first_not_of('b', body) == std::string::npos);
+}
+
 TEST_CASE("a leaf never sees more connections than its limit")
 {
     boost::asio::io_context context(1);
