Log the build id of the program at its start

started now has the release and the linker's build id, which readelf -n shows for the file. No id is computed at build time, so builds stay reproducible.

--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -4,6 +4,7 @@
 #include "node/process/store_reader.ipp"
 #include "node/process/subquery_service.ipp"
 #include "node/process/target_pool.ipp"
+#include "process/build_id.hpp"
 #include "process/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -168,7 +169,9 @@
 void node<Adapter>::start()
 {
     log_event(log_level::info, "started",
-              {{"domain", this->settings.domain.value},
+              {{"release", BASILPATH_RELEASE},
+               {"build", build_id()},
+               {"domain", this->settings.domain.value},
                {"callers", this->settings.callers.value}});
     this->callers.start();
     this->readiness.start();
