--- a/test/node_http_test.cpp
+++ b/test/node_http_test.cpp
@@ -87,6 +87,9 @@
          {"GET / HTTP/1.1\r\nX: " + std::string(40'000, 'x') + "\r\n\r\n",
           " 431 "},
          {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n",
+          " 413 "},
+         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n"
+          "GET /rest HTTP/1.1\r\nHost: h\r\n\r\n",
           " 413 "}}));
     node.send(sent);
     const std::string received = node.receive([&node] { return node.closed; });
