--- a/src/node/request/decision_trace.hpp
+++ b/src/node/request/decision_trace.hpp
@@ -65,7 +65,7 @@
     unsigned number = 0;
 
     /// For a result: the connection that carried the call.
-    connection_use connection;
+    connection_use connection{};
 
     /// For `delegate_lack`: why the host has no part.
     missing_reason absent = missing_reason::waiting;
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -112,7 +112,7 @@
     /// Time from sending the call to its end.
     microseconds latency{0};
 
-    connection_use connection;
+    connection_use connection{};
 };
 
 /// A pending call, shared by the session that waits for its result and the
