--- a/test/connection_reuse_test.cpp
+++ b/test/connection_reuse_test.cpp
@@ -25,7 +25,7 @@
 
 std::shared_ptr<caller_query> post(const std::string& id, std::size_t bytes)
 {
-    const auto query = pool_fixture::query(id);
+    auto query = pool_fixture::query(id);
     query->method = "POST";
     query->body = std::string(bytes, 'b');
     return query;
