--- a/review/6/case.py
+++ b/review/6/case.py
@@ -69,7 +69,7 @@
 
 
 async def run(world):
-    leafs = [await world.add_leaf(SERVICE, zone, slots=3, work_s=0.05, kind=SheddingLeaf)
+    leafs = [await world.add_leaf(SERVICE, zone, slots=3, work_s=0.02, kind=SheddingLeaf)
              for zone in (*world.zones, *world.zones, world.zones[0])]
     world.put_config(7, [w.route("ledger", "/ledger/", "non_idempotent", backend=SERVICE)],
                      {SERVICE: {}})
@@ -96,7 +96,7 @@
     for request, status in world.sent.items():
         world.record(f"sent {request} answered {status} ran {len(world.runs.get(request, []))}")
     extras = sum(leaf.extras for leaf in leafs)
-    return bool(twice or refused), (
+    return bool(twice), (
         f"{len(world.sent)} requests, {extras} answers repeated; "
         f"{len(twice)} ran twice, {len(refused)} answered as not run had run")
 
