--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,58 +3,19 @@
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins-2"))
 import world as w  # noqa: E402
+from crashes import POISON, CrashingLeaf, send  # noqa: E402
 
 SERVICE = "branch-close"
 CONTACT_S = w.BOUNDS["contactMs"] / 1000
-HEARTBEAT_S = 1.2
-# A leaf that crashed is back after some seconds, with a new id.
-BACK_S = 2.0
-POISON = "/ledger/poison"
 # All counters ask at the same moments; the request that crashes comes between.
 EVERY_S, GROUP, ROUNDS = 5.0, 80, 9
 POISON_AT_S = 2.5
 # Orders that are in work then, in the last rounds; each may run once.
 ORDER_ROUNDS = (7, 8)
-ORDERS, ORDER_AT_S, ORDER_WORK_S = 4, 2.0, 1.2
-
-
-class CrashingLeaf(w.Leaf):
-    """Crashes when it begins to run the request that crashes leafs."""
-
-    async def serve(self, method, target, headers, request, body, reader, writer):
-        if target != POISON:
-            self.work_s = ORDER_WORK_S if method == "POST" else 0.09
-            return await super().serve(method, target, headers, request, body, reader, writer)
-        self.world.note_run(self, request, method, target, body)
-        self.world.crashes.append((time.monotonic(), request, self))
-        self.world.record(f"leaf {self.id} begins {request} and crashes, "
-                          f"{self.running} requests in work, {len(self.writers)} connections")
-        asyncio.create_task(self.crash_and_return())
-        await asyncio.sleep(60)
-        return False
-
-    async def crash_and_return(self):
-        await self.stop()
-        await asyncio.sleep(BACK_S)
-        old_key, self.id = self.key, f"i-{self.world.rng.getrandbits(32):08x}"
-        self.born = int(time.time() * 1000)
-        self.free = asyncio.Semaphore(self.slots)
-        self.running = self.waiting = 0
-        await self.start()
-        self.register()
-        await asyncio.sleep(max(0, 3 * HEARTBEAT_S - BACK_S))
-        self.world.store.delete(old_key)
-
-
-async def send(world, method, target, request, front):
-    world.sent_at[request] = time.monotonic()
-    answer = await w.ask(front, method, target,
-                         {"Host": w.HOST, "X-Request-Id": request, "X-Deadline-Ms": "6000"})
-    world.sent[request] = answer[0] if answer else None
+ORDERS, ORDER_AT_S = 4, 2.0
 
 
 async def run(world):
