--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,12 +15,12 @@
 SERVICE = "branch-close"
 CLIENTS = 40
 PAUSE_S = 0.01
-BEFORE_S, TROUBLE_S, AFTER_S = 2.0, 5.5, 2.0
+BEFORE_S, TROUBLE_S, AFTER_S = 2.0, 5.0, 2.0
 # Three of five leafs shed a share of their requests and send a share of their
 # answers twice, the second time late.
 FAULTY_LEAFS = 3
 SHED_SHARE = 0.45
-EXTRA_SHARE = 0.04
+EXTRA_SHARE = 0.03
 LATE_S = 0.01
 
 
