--- a/review/7/case.py
+++ b/review/7/case.py
@@ -54,6 +54,8 @@
     world.record(f"{world.per_s:.0f} requests a second")
     await asyncio.sleep(DRAIN_AFTER_S)
     leaving = leafs[0]
+    # A release: the new leaf starts first, the old one drains.
+    await world.add_leaf(SERVICE, leaving.zone, SLOTS, WORK_S)
     leaving.drain()
     await asyncio.sleep(BURST_S - DRAIN_AFTER_S)
     world.per_s = PER_S
