Take no copy of a rejection for the answer to the next request

Cause: a rejection bears no id, and an answer without one was taken for the answer to whatever the connection carried. A replica that sends it twice makes the next call "not run" while it runs.

Fix: a connection on which an answer without an id has come carries no call that must not be sent twice; such a call gets a new connection. A further rejection without an id there proves nothing: it is no promise and is not passed on.

Evidence: with the checks disabled, "a call that must not be sent twice does not follow an answer without an id", "a second answer without an id does not prove that a call did not run" and "a rejection that may be a copy is no answer and no promise" fail.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -72,6 +72,13 @@
         return this->socket.available(error) > 0;
     }
 
+    /// Returns whether all answers so far echoed the id of their request. If
+    /// not, a copy of one of them can pass for the answer to a later call.
+    [[nodiscard]] bool answers_identified() const
+    {
+        return !this->unidentified_answer;
+    }
+
     [[nodiscard]] const std::shared_ptr<target_call>& carried() const
     {
         return this->call;
@@ -102,6 +109,7 @@
     bool parse();
     void parse_eof();
     bool finish_response();
+    void check_attribution(target_reply& reply);
     bool charge_memory();
     [[nodiscard]] std::size_t undelivered_bytes();
     void log_early_answer(const target_reply& reply,
@@ -139,6 +147,9 @@
 
     /// Whether the connection must not carry another call.
     bool must_close = false;
+
+    /// Whether an answer has come that did not echo the id of its request.
+    bool unidentified_answer = false;
 };
 
 } // namespace basilpath
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -258,6 +258,7 @@
                    {"bytes", reply.body.size()}});
         return false; // Not from the replica, or the rest of its head is lost.
     }
+    this->check_attribution(reply);
     // A replica may answer before it has received the request: the rest would
     // arrive in front of the next one, which waits until the replica reads on.
     const std::size_t undelivered = this->undelivered_bytes();
@@ -284,6 +285,23 @@
     return true;
 }
 
+// Marks a rejection that an earlier answer without an id may have been copied
+// to: replicas may send an answer twice, the second time late.
+template <target_codec Codec>
+void target_connection<Codec>::check_attribution(target_reply& reply)
+{
+    if (reply.echoed_request_id)
+    {
+        return;
+    }
+    if (reply.not_executed && this->unidentified_answer)
+    {
+        reply.not_executed = false;
+        reply.unattributed = true;
+    }
+    this->unidentified_answer = true;
+}
+
 // Returns how many bytes of the request had not reached the replica when it
 // answered. Its answer acknowledges all that had.
 template <target_codec Codec>
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -10,6 +10,7 @@
 #include "node/version/replica.hpp"
 
 #include <algorithm>
+#include <concepts>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -29,6 +30,9 @@
 /// An idle connection is closed this long before the replica would close it.
 inline constexpr milliseconds idle_margin{1'000};
 
+/// A replica may be closing a connection that has been idle for longer.
+inline constexpr milliseconds max_reliable_idle{500};
+
 } // namespace replica_entry_bounds
 
 /// A replica, its connections and the calls that wait for one.
@@ -88,19 +92,24 @@
         return !this->limit || this->limit->try_take(now);
     }
 
-    /// Returns a connection without a call that has been idle for less than
-    /// `max_idle`, or null. One with unread bytes is about to be closed.
+    /// Returns a connection without a call, or null. One with unread bytes is
+    /// about to be closed.
+    [[nodiscard]] std::shared_ptr<connection> idle_connection() const
+    {
+        return this->find_idle([](const connection&) { return true; });
+    }
+
+    /// Returns a connection for a call that must not be sent twice, or null.
     [[nodiscard]] std::shared_ptr<connection>
-    idle_connection(instant now, microseconds max_idle) const
+    reliable_connection(instant now) const
     {
-        const auto found = std::ranges::find_if(
-            this->connections,
-            [&](const auto& open)
+        return this->find_idle(
+            [now](const connection& open)
             {
-                return open->idle() && now - open->state_since() < max_idle &&
-                       !open->has_unread_bytes();
+                return now - open.state_since() <
+                           replica_entry_bounds::max_reliable_idle &&
+                       open.answers_identified();
             });
-        return found == this->connections.end() ? nullptr : *found;
     }
 
     /// Closes connections whose call has passed its deadline or was abandoned,
@@ -166,6 +175,19 @@
         }
     }
 
+    /// Returns a connection without a call that meets a condition, or null.
+    template <std::predicate<const connection&> Condition>
+    [[nodiscard]] std::shared_ptr<connection> find_idle(Condition meets) const
+    {
+        const auto found =
+            std::ranges::find_if(this->connections,
+                                 [&meets](const auto& open) {
+                                     return open->idle() && meets(*open) &&
+                                            !open->has_unread_bytes();
+                                 });
+        return found == this->connections.end() ? nullptr : *found;
+    }
+
     /// Number of connections that are not established yet.
     [[nodiscard]] std::size_t connecting() const
     {
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -26,13 +26,6 @@
 /// may exceed its end.
 inline constexpr milliseconds sweep_interval{20};
 
-/// A replica may be closing a connection that has been idle for longer; such a
-/// connection carries no call that must not be sent twice.
-inline constexpr milliseconds max_fresh_idle{500};
-
-/// Accepts a connection of any idle time.
-inline constexpr microseconds any_idle_time = microseconds::max();
-
 } // namespace target_pool_bounds
 
 template <target_codec Codec>
@@ -303,23 +296,21 @@
     while (!one->waiting.empty() && this->has_room(*one) &&
            one->limit_admits(time))
     {
-        auto idle =
-            one->idle_connection(now(), target_pool_bounds::any_idle_time);
+        auto idle = one->idle_connection();
         if (!idle)
         {
             break;
         }
         const auto call = one->waiting.pop(time, one->health.service_time());
-        if (call->needs_fresh_connection)
+        if (call->needs_reliable_connection)
         {
-            const auto stale = idle;
-            idle =
-                one->idle_connection(now(), target_pool_bounds::max_fresh_idle);
+            const auto unreliable = idle;
+            idle = one->reliable_connection(now());
             if (!idle)
             {
-                // Replaces the stale connection by a new one.
+                // Replaces the connection by a new one.
                 one->waiting.push(call);
-                stale->close();
+                unreliable->close();
                 this->open(one);
                 return;
             }
@@ -332,9 +323,7 @@
         this->note_send(one->target.id, call->purpose);
         idle->send(call, time);
     }
-    const bool any_idle =
-        one->idle_connection(now(), target_pool_bounds::any_idle_time) !=
-        nullptr;
+    const bool any_idle = one->idle_connection() != nullptr;
     if (one->waiting.size() > one->connecting() && !any_idle &&
         one->connections.size() < this->connection_bound(*one) &&
         this->has_room(*one))
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -142,7 +142,7 @@
     call->purpose = !repeat               ? call_purpose::first
                     : this->calls.empty() ? call_purpose::retry
                                           : call_purpose::hedge;
-    call->needs_fresh_connection = !this->rule.idempotent;
+    call->needs_reliable_connection = !this->rule.idempotent;
     call->done = [weak = this->weak_from_this(),
                   raw = std::weak_ptr<target_call>(call)](target_result result)
     {
@@ -227,14 +227,15 @@
         this->shared.crashes.note_broken(fingerprint_of(*this->query),
                                          event.call->to, this->now());
     }
+    const bool own_answer = answered && ran && !result.reply.unattributed;
     const bool final_answer =
-        answered && ran && (result.reply.success() || !this->rule.idempotent);
+        own_answer && (result.reply.success() || !this->rule.idempotent);
     if (final_answer)
     {
         this->failure = std::move(result.reply);
         return this->conclude(forward_end::answered);
     }
-    if (answered && ran)
+    if (own_answer)
     {
         this->failure = std::move(result.reply);
     }
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -50,6 +50,10 @@
     /// The replica did not run the request and will not.
     bool not_executed = false;
 
+    /// A rejection that may be a copy of an answer to an earlier request: it
+    /// proves nothing about this one.
+    bool unattributed = false;
+
     std::optional<replica_load> load;
 
     /// The rate that the replica accepts from all hosts together; nothing when
@@ -133,8 +137,9 @@
     /// Until when the answer is useful at all.
     instant deadline{};
 
-    /// Must not be sent on a connection that the replica may be closing.
-    bool needs_fresh_connection = false;
+    /// Must not be sent on a connection that the replica may be closing, or
+    /// whose earlier answers can pass for one to this call.
+    bool needs_reliable_connection = false;
 
     /// Called once, unless the session abandoned the call.
     std::function<void(target_result)> done;
--- a/test/connection_reuse_test.cpp
+++ b/test/connection_reuse_test.cpp
@@ -127,6 +127,47 @@
     CHECK(node.results[1].reply.body == "second");
 }
 
+// Guards against a request that runs twice: the copy of an earlier rejection,
+// which bears no id, was taken for the answer to it.
+TEST_CASE("a call that must not be sent twice does not follow an answer "
+          "without an id")
+{
+    pool_fixture node(
+        [](const std::string&, std::size_t connection)
+        {
+            return raw_action{connection == 0 ? early_rejection
+                                              : answer("second", "two")};
+        });
+    node.start("one", true);
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].reply.not_executed);
+
+    node.start("two", true);
+    node.await_results(2);
+    REQUIRE(node.results.size() == 2);
+    CHECK(node.results[1].reply.body == "second");
+    CHECK(node.server.connections == 2);
+}
+
+// Guards against a promise that a request has not run, made on a copy of an
+// earlier rejection.
+TEST_CASE("a second answer without an id does not prove that a call did not "
+          "run")
+{
+    pool_fixture node([](const std::string&, std::size_t)
+                      { return raw_action{early_rejection}; });
+    node.start("one");
+    node.await_results(1);
+    node.start("two");
+    node.await_results(2);
+    REQUIRE(node.results.size() == 2);
+    CHECK(node.server.connections == 1);
+    CHECK_FALSE(node.results[0].reply.unattributed);
+    CHECK(node.results[1].reply.unattributed);
+    CHECK_FALSE(node.results[1].reply.not_executed);
+}
+
 // The memory of a request is in use while it is sent, so these run under an
 // address sanitizer as well.
 TEST_CASE("a connection that is closed while it sends ends its call once")
--- a/test/node_forward_test.cpp
+++ b/test/node_forward_test.cpp
@@ -52,6 +52,27 @@
     CHECK_FALSE(node.replies[0].status == 503);
 }
 
+// Guards against a promise that a request has not run which rests on the copy
+// of an answer to another request, and against passing that copy on.
+TEST_CASE("a rejection that may be a copy is no answer and no promise")
+{
+    node_session_fixture node;
+    node.targets.behave = [](const target_call&, std::size_t)
+    {
+        target_script script = shed();
+        script.result.reply.not_executed = false;
+        script.result.reply.unattributed = true;
+        return script;
+    };
+    const auto [target, sends] = GENERATE(
+        table<std::string, std::size_t>({{"/one/x", 2}, {"/order/x", 1}}));
+    node.start(target);
+    node.run.run_until(4s);
+    CHECK(node.targets.sent == sends);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 504);
+}
+
 TEST_CASE("a non-idempotent request is retried after a not-executed answer")
 {
     node_session_fixture node;
--- a/test/target_pool_fixture.hpp
+++ b/test/target_pool_fixture.hpp
@@ -54,11 +54,11 @@
     }
 
     std::shared_ptr<target_call> start(const std::string& id,
-                                       bool needs_fresh_connection = false,
+                                       bool needs_reliable_connection = false,
                                        microseconds timeout = 2s,
                                        const std::string& to = "i-1")
     {
-        return this->start(this->query(id), needs_fresh_connection, timeout,
+        return this->start(this->query(id), needs_reliable_connection, timeout,
                            to);
     }
 
@@ -75,14 +75,14 @@
 
     std::shared_ptr<target_call>
     start(const std::shared_ptr<const caller_query>& query,
-          bool needs_fresh_connection = false, microseconds timeout = 2s,
+          bool needs_reliable_connection = false, microseconds timeout = 2s,
           const std::string& to = "i-1")
     {
         auto call = std::make_shared<target_call>();
         call->query = query;
         call->to = leaf_id(to);
         call->route = "r";
-        call->needs_fresh_connection = needs_fresh_connection;
+        call->needs_reliable_connection = needs_reliable_connection;
         call->deadline = to_instant(std::chrono::steady_clock::now()) + timeout;
         call->soft_deadline = call->deadline;
         call->done = [this](target_result result)
