Return the calls that wait for a replica when it begins to leave

Cause: an entry that turns to draining only replaced the description of the replica. Calls that waited for it on the host were sent up to their deadline.

Fix: they end as unsent, and their sessions choose another replica. The same for a replica whose entry is removed, if its service has another one on the list.

Evidence: without the two calls of return_waiting() both cases of leaving_replica_test.cpp fail.

--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -59,11 +59,13 @@
     /// Starts the periodic check of connections and of replicas that are down.
     void start();
 
-    /// Adds or updates a replica, as of a revision of the store.
+    /// Adds or updates a replica, as of a revision of the store. Calls that
+    /// wait for a replica that begins to leave end as unsent.
     void set_replica(const replica& one, store_revision as_of = 0);
 
     /// Takes a replica off the list. It remains for `removal_grace` in case it
-    /// is listed again, and is used only when there is no other.
+    /// is listed again, and is used only when there is no other. If there is,
+    /// calls that wait for it end as unsent.
     void drop_replica(const leaf_id& id, milliseconds removal_grace);
 
     /// Sets whether nothing may be sent to the replicas of a failure domain, as
@@ -186,6 +188,8 @@
     using connection = typename entry::connection;
     using entry_pointer = std::shared_ptr<entry>;
 
+    [[nodiscard]] bool any_listed(const service_name& service) const;
+    void return_waiting(const entry_pointer& one);
     void open(const entry_pointer& one);
     void dispatch(const entry_pointer& one);
     [[nodiscard]] bool has_room(const entry& one) const;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -51,6 +51,7 @@
     {
         if (known->same_process(one))
         {
+            const bool begins_to_leave = one.leaving && !known->target.leaving;
             this->update_warmup(known, one, as_of);
             known->target = one;
             known->delisted = false;
@@ -59,6 +60,10 @@
             {
                 this->dispatch(known);
             }
+            if (begins_to_leave)
+            {
+                this->return_waiting(known);
+            }
             return;
         }
         this->drop_replica(one.id, milliseconds(0));
@@ -83,6 +88,30 @@
     }
 }
 
+// Returns whether a service has a replica on the list that may receive calls.
+template <target_codec Codec>
+bool target_pool<Codec>::any_listed(const service_name& service) const
+{
+    return std::ranges::any_of(this->candidates(service),
+                               [](const candidate& one)
+                               { return !one.delisted && is_eligible(one); });
+}
+
+// Returns the calls that wait for a replica which drains or was taken off the
+// list to their sessions: it may exit before it has answered them.
+template <target_codec Codec>
+void target_pool<Codec>::return_waiting(const entry_pointer& one)
+{
+    const auto calls = one->waiting.take_all();
+    log_event(log_level::info, "replica_leaving",
+              {{"replica", one->target.id.value},
+               {"service", one->target.service.value},
+               {"delisted", one->delisted},
+               {"calls_moved", calls.size()},
+               {"calls_in_progress", one->carried()}});
+    one->fail_unsent(calls, now());
+}
+
 template <target_codec Codec>
 void target_pool<Codec>::drop_replica(const leaf_id& id,
                                       milliseconds removal_grace)
@@ -96,6 +125,10 @@
     {
         one->delisted = true;
         one->remove_at = now() + removal_grace;
+        if (this->any_listed(one->target.service))
+        {
+            this->return_waiting(one);
+        }
         return;
     }
     this->replicas.remove(one);
