Tell hosts that start later which requests are in quarantine

Cause: hosts tell each other of single crashes for 3 s, and of the quarantine that follows never. A host that was not running, frozen or cut off during those 3 s does not learn of it.

Fix: each datagram between hosts names quarantines in force with the time that is left, eight at a time in turn. A host adopts those that it does not have, except shortly before their end, so that none is prolonged by being passed on. Hosts of earlier releases ignore the field. quarantine_table::merge() bounds the table as note_crash() does, which is why its callers, one of them in a test, pass the time.

--- a/fuzz/peer_datagram.cpp
+++ b/fuzz/peer_datagram.cpp
@@ -44,6 +44,10 @@
     {
         good = good && one.at <= now;
     }
+    for (const quarantine& one : datagram->quarantines)
+    {
+        good = good && one.remaining.count() >= 0;
+    }
     if (!good || !decode_datagram(encode_datagram(*datagram, now), now))
     {
         std::abort();
--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -26,11 +26,12 @@
 constexpr std::size_t demands_index = 10;
 constexpr std::size_t values_per_demand = 3;
 
-// Array indices of parts that a datagram may lack. In place of no update, one
-// that changes nothing is sent when limits follow it, since hosts of earlier
-// releases read only the update.
+// Array indices of parts that a datagram may lack; hosts of earlier releases
+// read only the first ones. In place of no update, one that changes nothing is
+// sent when other parts follow it.
 constexpr std::size_t update_index = 6;
 constexpr std::size_t limits_index = 7;
+constexpr std::size_t quarantines_index = 8;
 const item_update no_update{1, 0, {}};
 
 // Rates are sent as whole hundredths, which takes fewer bytes than a double.
@@ -102,6 +103,25 @@
     return one;
 }
 
+json to_json(const quarantine& one)
+{
+    const auto remaining =
+        std::chrono::duration_cast<milliseconds>(one.remaining);
+    return json::array({one.request_fingerprint.value, remaining.count()});
+}
+
+// Returns null when the remaining time is out of range.
+std::optional<quarantine> to_quarantine(const json& from)
+{
+    const milliseconds remaining(from.at(1).get<std::int64_t>());
+    if (remaining < milliseconds(0) || remaining > max_age)
+    {
+        return std::nullopt;
+    }
+    return quarantine{
+        fingerprint(from.at(0).get<std::uint64_t>()), {}, remaining};
+}
+
 std::vector<host_demand> to_demands(const json& from)
 {
     std::vector<host_demand> demands;
@@ -192,11 +212,13 @@
         {static_cast<unsigned>(datagram.kind), to_json(datagram.from),
          datagram.revision, datagram.age ? json(datagram.age->count()) : json(),
          std::move(gossip), std::move(suspected_crashes)});
-    if (datagram.update || !datagram.limits.empty())
+    const bool has_quarantines = !datagram.quarantines.empty();
+    const bool has_limits = !datagram.limits.empty() || has_quarantines;
+    if (datagram.update || has_limits)
     {
         message.push_back(to_json(datagram.update.value_or(no_update)));
     }
-    if (!datagram.limits.empty())
+    if (has_limits)
     {
         json limits = json::array();
         for (const named_limit& one : datagram.limits)
@@ -205,6 +227,15 @@
         }
         message.push_back(std::move(limits));
     }
+    if (has_quarantines)
+    {
+        json quarantines = json::array();
+        for (const quarantine& one : datagram.quarantines)
+        {
+            quarantines.push_back(to_json(one));
+        }
+        message.push_back(std::move(quarantines));
+    }
     return encode_message(message);
 }
 
@@ -268,6 +299,18 @@
                     datagram.limits.push_back(*limit);
                 }
             }
+            if (message.size() > quarantines_index)
+            {
+                for (const json& one : message.at(quarantines_index))
+                {
+                    const auto decoded = to_quarantine(one);
+                    if (!decoded)
+                    {
+                        return std::nullopt;
+                    }
+                    datagram.quarantines.push_back(*decoded);
+                }
+            }
             return datagram;
         });
 }
--- a/src/node/connection/peer_datagram.hpp
+++ b/src/node/connection/peer_datagram.hpp
@@ -45,6 +45,9 @@
     /// Limits that replicas name, with ages on the wire as well.
     std::vector<named_limit> limits;
 
+    /// Requests that are in quarantine, with the time that is left.
+    std::vector<quarantine> quarantines;
+
     /// Changes up to `revision`; null when there are too many.
     std::optional<item_update> update;
 };
--- a/src/node/process/crash_detector.cpp
+++ b/src/node/process/crash_detector.cpp
@@ -30,6 +30,10 @@
 
 constexpr std::size_t broken_call_limit = 1'000;
 
+// A quarantine that ends sooner is not adopted. Hosts would pass it back and
+// forth, each a little longer by the delay of the message.
+constexpr microseconds min_adopted_time = 2s;
+
 } // namespace
 
 fingerprint fingerprint_of(const caller_query& query)
@@ -122,6 +126,28 @@
     return true;
 }
 
+bool crash_detector::merge(const quarantine& other, instant now)
+{
+    if (other.remaining < min_adopted_time ||
+        this->quarantined(other.request_fingerprint, now))
+    {
+        return false;
+    }
+    this->table.merge(other.request_fingerprint, now + other.remaining, now);
+    return true;
+}
+
+std::vector<quarantine> crash_detector::next_quarantines(std::size_t most,
+                                                         instant now)
+{
+    auto next = this->table.in_force(this->last_sent, most, now);
+    if (!next.empty())
+    {
+        this->last_sent = next.back().request_fingerprint;
+    }
+    return next;
+}
+
 bool crash_detector::quarantined(fingerprint request_fingerprint, instant now)
 {
     return this->table.look_up(request_fingerprint, now) ==
--- a/src/node/process/crash_detector.hpp
+++ b/src/node/process/crash_detector.hpp
@@ -5,10 +5,12 @@
 #include "process/quarantine_table.hpp"
 #include "version/ids.hpp"
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
 #include <span>
+#include <vector>
 
 namespace basilpath
 {
@@ -58,6 +60,21 @@
     /// Merges a crash found by another host. Returns whether it is new.
     bool merge(const suspected_crash& crash);
 
+    /// Adopts a quarantine of another host. Returns whether it is new. A host
+    /// that was not running or could not be reached when the replicas crashed
+    /// learns of it in this way.
+    bool merge(const quarantine& other, instant now);
+
+    /// Returns up to `most` quarantines to send to another host, each in turn.
+    [[nodiscard]] std::vector<quarantine> next_quarantines(std::size_t most,
+                                                           instant now);
+
+    /// Number of requests in quarantine.
+    [[nodiscard]] std::size_t quarantine_count(instant now) const
+    {
+        return this->table.size(now);
+    }
+
     /// Returns whether the request must not be sent to any replica.
     [[nodiscard]] bool quarantined(fingerprint request_fingerprint,
                                    instant now);
@@ -74,6 +91,9 @@
     std::deque<suspected_crash> broken;
     std::map<leaf_id, instant> down_at;
     std::deque<suspected_crash> suspected_crashes;
+
+    /// The last quarantine that was sent to another host.
+    fingerprint last_sent;
 };
 
 } // namespace basilpath
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -254,6 +254,8 @@
         static_cast<double>(this->targets.limited_replica_count());
     stats.cold_replicas =
         static_cast<double>(this->targets.cold_replica_count());
+    stats.quarantined_requests =
+        static_cast<double>(this->crashes.quarantine_count(now));
     stats.scarce_groups =
         static_cast<double>(this->targets.scarce_group_count());
     stats.limited_by_purpose = this->targets.limited_send_total();
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -89,6 +89,9 @@
     gauge("basilpath_node_cold_replicas",
           "Replicas whose requests are limited because they are cold.",
           stats.cold_replicas);
+    gauge("basilpath_node_quarantined_requests",
+          "Requests that are not sent to replicas because they crash them.",
+          stats.quarantined_requests);
     gauge("basilpath_node_scarce_groups",
           "Groups of services whose replicas have no slots to spare.",
           stats.scarce_groups);
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -57,6 +57,9 @@
 constexpr std::size_t suspected_crash_limit = 8;
 constexpr microseconds suspected_crash_lifetime = 3s;
 
+// Most requests in quarantine that one datagram names.
+constexpr std::size_t quarantine_limit = 8;
+
 constexpr milliseconds fetch_timeout{1'000};
 
 // Time within which a host of the same failure domain is likely to offer the
@@ -253,6 +256,18 @@
             this->suspected_crashes.push_back(one);
         }
     }
+    for (const quarantine& one : datagram.quarantines)
+    {
+        if (this->crashes.merge(one, time))
+        {
+            const auto left =
+                std::chrono::duration_cast<milliseconds>(one.remaining);
+            log_event(log_level::warning, "quarantine_adopted",
+                      {{"fingerprint", one.request_fingerprint.value},
+                       {"from", datagram.from.address.value},
+                       {"left_ms", left.count()}});
+        }
+    }
     for (const named_limit& one : datagram.limits)
     {
         this->limits.merge(one, time);
@@ -321,10 +336,17 @@
             static_cast<std::ptrdiff_t>(report_count),
         this->suspected_crashes.end());
     datagram.limits = this->limits.next_news(limit_news_limit, time);
+    datagram.quarantines =
+        this->crashes.next_quarantines(quarantine_limit, time);
     std::string bytes = encode_datagram(datagram, time);
     while (bytes.size() > datagram_limit &&
-           !(datagram.limits.empty() && datagram.gossip.empty()))
+           !(datagram.limits.empty() && datagram.gossip.empty() &&
+             datagram.quarantines.empty()))
     {
+        if (datagram.limits.empty() && datagram.gossip.empty())
+        {
+            datagram.quarantines.resize(datagram.quarantines.size() / 2);
+        }
         if (datagram.limits.empty())
         {
             datagram.gossip.resize(datagram.gossip.size() / 2);
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -21,9 +21,9 @@
 namespace basilpath
 {
 
-/// Probes members by datagrams that carry gossip and the limits that replicas
-/// name, and fetches changes of the
-/// store that another host's view has and this one's lacks. Not thread-safe.
+/// Probes members by datagrams that carry gossip, the limits that replicas name
+/// and the requests in quarantine, and fetches changes of the store that
+/// another host's view has and this one's lacks. Not thread-safe.
 class peer_exchange
 {
 public:
--- a/src/process/quarantine_table.cpp
+++ b/src/process/quarantine_table.cpp
@@ -90,8 +90,10 @@
     return known.until ? standing::quarantined : standing::suspect;
 }
 
-void quarantine_table::merge(fingerprint request_fingerprint, instant until)
+void quarantine_table::merge(fingerprint request_fingerprint, instant until,
+                             instant now)
 {
+    this->make_room(now);
     record& known = this->records[request_fingerprint];
     known.until = std::max(known.until.value_or(until), until);
     this->proven.remove(request_fingerprint);
@@ -128,6 +130,25 @@
     return result;
 }
 
+std::vector<quarantine> quarantine_table::in_force(fingerprint after,
+                                                   std::size_t most,
+                                                   instant now) const
+{
+    std::vector<quarantine> result;
+    auto at = this->records.upper_bound(after);
+    for (std::size_t i = 0; i < this->records.size() && result.size() < most;
+         ++i, ++at)
+    {
+        at = at == this->records.end() ? this->records.begin() : at;
+        const auto& [print, one] = *at;
+        if (one.until && now < *one.until)
+        {
+            result.push_back({print, {}, *one.until - now});
+        }
+    }
+    return result;
+}
+
 std::size_t quarantine_table::size(instant now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/process/quarantine_table.hpp
+++ b/src/process/quarantine_table.hpp
@@ -60,7 +60,7 @@
                         instant now, standing sent_as);
 
     /// Adopts a quarantine of another host.
-    void merge(fingerprint request_fingerprint, instant until);
+    void merge(fingerprint request_fingerprint, instant until, instant now);
 
     /// Starts a trial of a fingerprint that is not proven. Returns false when
     /// another trial of it is in progress, as only one runs at a time.
@@ -72,6 +72,11 @@
     [[nodiscard]] quarantine describe(fingerprint request_fingerprint,
                                       instant now) const;
 
+    /// Returns up to `most` quarantines in force, without their leaves: those
+    /// whose fingerprints follow `after`, then from the first one on.
+    [[nodiscard]] std::vector<quarantine>
+    in_force(fingerprint after, std::size_t most, instant now) const;
+
     /// Returns the number of fingerprints in quarantine.
     [[nodiscard]] std::size_t size(instant now) const;
 
--- a/src/process/relay.ipp
+++ b/src/process/relay.ipp
@@ -57,7 +57,8 @@
     }
     for (const auto& [print, until] : state->quarantines)
     {
-        this->context.quarantines.merge(print, to_instant(until));
+        this->context.quarantines.merge(print, to_instant(until),
+                                        this->context.now());
     }
     if (!this->context.state->configuration)
     {
--- a/test/node_crash_test.cpp
+++ b/test/node_crash_test.cpp
@@ -1,5 +1,9 @@
 #include "node_session_fixture.hpp"
 
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
 namespace
 {
 
@@ -63,6 +67,82 @@
     CHECK(node.targets.sent > 0);
 }
 
+// Quarantines a request at a host that sees all of its crashes.
+void quarantine_at(crash_detector& host, fingerprint request, instant now)
+{
+    for (const char* const id : {"a", "b", "c"})
+    {
+        host.merge(suspected_crash{request, leaf_id(id), now});
+    }
+}
+
+// Guards against a host that sends a quarantined request to replicas again
+// because it was started after the crashes.
+TEST_CASE("a host that starts later adopts the quarantines of the others")
+{
+    const instant now = scripted_targets::now();
+    crash_detector other([](const suspected_crash&) {});
+    caller_query query;
+    query.method = "GET";
+    query.host = "h";
+    query.target = "/one/x";
+    quarantine_at(other, fingerprint_of(query), now);
+    // More than one datagram names.
+    for (std::uint64_t i = 1; i <= 20; ++i)
+    {
+        quarantine_at(other, fingerprint(i), now);
+    }
+
+    node_session_fixture node;
+    std::size_t adopted = 0;
+    for (int datagram = 0; datagram < 3; ++datagram)
+    {
+        for (const quarantine& one : other.next_quarantines(8, now))
+        {
+            adopted += node.crashes.merge(one, now) ? 1 : 0;
+        }
+    }
+    CHECK(adopted == 21);
+    CHECK(node.crashes.quarantine_count(now) == 21);
+    node.start("/one/x");
+    node.run.run_until(1s);
+    CHECK(node.targets.sent == 0);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 502);
+}
+
+TEST_CASE("hosts that exchange a quarantine do not prolong it")
+{
+    const instant begin = scripted_targets::now();
+    constexpr microseconds quarantine_time = 60s;
+    constexpr microseconds delay = 100ms;
+    const fingerprint request(7);
+    const auto ignore = [](const suspected_crash&) {
+    };
+    crash_detector first(ignore);
+    crash_detector second(ignore);
+    quarantine_at(first, request, begin);
+    instant now = begin;
+    for (; now < begin + quarantine_time + 5s; now += 2 * delay)
+    {
+        for (const quarantine& one : first.next_quarantines(8, now))
+        {
+            second.merge(one, now + delay);
+        }
+        for (const quarantine& one : second.next_quarantines(8, now + delay))
+        {
+            first.merge(one, now + 2 * delay);
+        }
+        if (now < begin + quarantine_time - delay)
+        {
+            REQUIRE(first.quarantined(request, now));
+            REQUIRE(second.quarantined(request, now + delay));
+        }
+    }
+    CHECK_FALSE(first.quarantined(request, now));
+    CHECK_FALSE(second.quarantined(request, now));
+}
+
 TEST_CASE("calls that break without a crash do not quarantine a request")
 {
     node_session_fixture node;
--- a/test/node_member_list_test.cpp
+++ b/test/node_member_list_test.cpp
@@ -213,6 +213,22 @@
     CHECK(received->update->changes.empty());
 }
 
+TEST_CASE("a datagram carries quarantines with the time that is left")
+{
+    peer_datagram sent;
+    sent.quarantines = {{fingerprint(7), {}, 59'500ms}};
+    const auto received =
+        decode_datagram(encode_datagram(sent, at(3s)), at(10s));
+    REQUIRE(received);
+    REQUIRE(received->quarantines.size() == 1);
+    CHECK(received->quarantines[0].request_fingerprint == fingerprint(7));
+    CHECK(received->quarantines[0].remaining == 59'500ms);
+    // Hosts of earlier releases read the parts before it.
+    CHECK(received->limits.empty());
+    REQUIRE(received->update);
+    CHECK(received->update->changes.empty());
+}
+
 TEST_CASE("a datagram with out-of-range values is rejected")
 {
     peer_datagram sent;
@@ -245,6 +261,14 @@
         sent.limits.push_back(
             {leaf_id("i-1"), request_rate(-1), at(0us), at(0us)});
     }
+    SECTION("a quarantine that has ended")
+    {
+        sent.quarantines.push_back({fingerprint(1), {}, -1ms});
+    }
+    SECTION("a quarantine longer than any that is sent")
+    {
+        sent.quarantines.push_back({fingerprint(1), {}, std::chrono::hours(2)});
+    }
     SECTION("a crash older than any that is sent")
     {
         sent.suspected_crashes[0].at = at(0us) - std::chrono::hours(24);
--- a/test/relay_quarantine_test.cpp
+++ b/test/relay_quarantine_test.cpp
@@ -175,7 +175,7 @@
                            standing::suspect) == standing::quarantined);
     CHECK(table.look_up(fingerprint(1), start + 59s) == standing::quarantined);
     CHECK(table.look_up(fingerprint(1), start + 61s) == standing::unknown);
-    table.merge(fingerprint(2), start + 70s);
+    table.merge(fingerprint(2), start + 70s, start + 61s);
     CHECK(table.look_up(fingerprint(2), start + 65s) == standing::quarantined);
     table.note_served(fingerprint(3));
     CHECK(table.look_up(fingerprint(3), start) == standing::proven);
