Notice a crash on a host with several connections to the replica

Cause: a broken call counts as a crash if the replica then refuses a connection. The check that attempts one was spent by the first connection that closed, and only made if that was the last one.

Fix: the check is due for the time within which a broken call and a refused connection are one crash, and is made when the last connection closes.

--- a/src/node/process/crash_detector.cpp
+++ b/src/node/process/crash_detector.cpp
@@ -20,10 +20,6 @@
 // Crashes before the one that leads to quarantine.
 constexpr std::size_t crashes_allowed = 2;
 
-// A broken call and a refused connection this close together are one crash,
-// since the next connection is attempted at once.
-constexpr microseconds crash_window = 1s;
-
 // Crashes are kept this long to detect duplicates: as long as the quarantine
 // table keeps a suspect.
 constexpr microseconds suspected_crash_retention = 60s;
--- a/src/node/process/crash_detector.hpp
+++ b/src/node/process/crash_detector.hpp
@@ -17,6 +17,10 @@
 
 struct caller_query;
 
+/// A broken call and a refused connection this close together are one crash,
+/// since the next connection is attempted at once.
+inline constexpr microseconds crash_window{1'000'000};
+
 /// Hashes method, host, target and body.
 [[nodiscard]] fingerprint fingerprint_of(const caller_query& query);
 
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -67,9 +67,9 @@
     /// Set while nothing may be sent to the replica's failure domain.
     bool evacuated = false;
 
-    /// Set when a call broke: once all connections are closed, a new one checks
-    /// whether the replica still accepts connections.
-    bool connect_check_due = false;
+    /// If the last connection closes before this time, a new one checks whether
+    /// the replica still accepts connections. Set when a call broke.
+    instant connect_check_until{};
 
     /// Returns whether a list entry describes the process of this entry.
     [[nodiscard]] bool same_process(const replica& other) const
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -1,5 +1,6 @@
 #include "node/connection/endpoint.hpp"
 #include "node/connection/target_connection.ipp"
+#include "node/process/crash_detector.hpp"
 #include "node/process/health_check.hpp"
 #include "node/process/target_pool.hpp"
 #include "process/log.hpp"
@@ -447,7 +448,7 @@
     else
     {
         one->health.on_broken(time);
-        one->connect_check_due = true;
+        one->connect_check_until = time + crash_window;
     }
     if (call->trial)
     {
@@ -515,11 +516,11 @@
         return;
     }
     this->dispatch(one);
-    if (std::exchange(one->connect_check_due, false) &&
-        one->connections.empty())
+    if (one->connections.empty() && now() < one->connect_check_until)
     {
         // A failed attempt to connect reveals at once that the replica has
         // crashed.
+        one->connect_check_until = {};
         this->open(one);
     }
 }
