Split requests by the weights in force only

Cause: the credits of the weighted round robin were kept by service, across versions and routes; credit earned under larger weights was spent under smaller ones.

Fix: request_split divides a circle among the parts by the weights in force and steps through it by the golden ratio, for each route and from a random start. Clearing the credits would let all hosts begin each version with the same part.

--- a/src/node/process/query_service.hpp
+++ b/src/node/process/query_service.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/caller_presence.hpp"
 #include "node/process/overload_gate.hpp"
+#include "node/process/request_split.hpp"
 #include "node/process/retry_after.hpp"
 #include "node/request/caller_query.hpp"
 #include "node/request/decision_trace.hpp"
@@ -34,6 +35,8 @@
     void set_routes(const std::shared_ptr<const route_table>& table)
     {
         this->routes = table;
+        std::erase_if(this->splits, [&table](const auto& one)
+                      { return !table->named(one.first); });
     }
 
     boost::asio::awaitable<caller_reply>
@@ -81,8 +84,8 @@
     /// attempt.
     std::map<std::string, milliseconds> longest_caller_timeout;
 
-    /// How far each part of a split is behind its weight.
-    std::map<service_name, double> part_credit;
+    /// By the name of the route.
+    std::map<std::string, request_split> splits;
 };
 
 } // namespace basilpath
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -5,7 +5,6 @@
 #include "process/log.hpp"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace basilpath
@@ -280,7 +279,6 @@
     return first - caller_timeout;
 }
 
-// Selects the part of a split by weighted round robin.
 template <runtime Runtime, target_transport Transport>
 service_name query_service<Runtime, Transport>::choose_part(const route& rule)
 {
@@ -288,21 +286,15 @@
     {
         return rule.parts.front().service;
     }
-    const double total = std::accumulate(
-        rule.parts.begin(), rule.parts.end(), 0.0,
-        [](double sum, const split_part& part) { return sum + part.weight; });
-    const split_part* chosen = nullptr;
-    for (const split_part& part : rule.parts)
+    auto found = this->splits.find(rule.name);
+    if (found == this->splits.end())
     {
-        double& credit = this->part_credit[part.service];
-        credit += part.weight;
-        if (!chosen || credit > this->part_credit[chosen->service])
-        {
-            chosen = &part;
-        }
+        found =
+            this->splits
+                .emplace(rule.name, request_split(this->shared.run.random()))
+                .first;
     }
-    this->part_credit[chosen->service] -= total;
-    return chosen->service;
+    return found->second.next(rule.parts);
 }
 
 } // namespace basilpath
