Quarantine a request for longer when it crashes replicas again

Seen by callers: a quarantine lasted 60 s and was then forgotten. A request that kept coming crashed three replicas again for every 60 s; the rule allows three retries in all.

Cause: the record of a request is dropped as its quarantine ends, so that one that was quarantined by mistake is served again. Nothing told the two apart.

Fix: a quarantine is remembered for 30 minutes. A request that crashes a replica in that time is quarantined at once, for twice as long as before; an answer clears it.

Evidence: without the memory "a request that keeps crashing replicas is quarantined for longer" counts 42 sends in 15 minutes of virtual time where 6 are allowed; without the clearing "an answer after its quarantine clears a request" fails.

--- a/src/node/process/crash_detector.cpp
+++ b/src/node/process/crash_detector.cpp
@@ -30,6 +30,11 @@
 // forth, each a little longer by the delay of the message.
 constexpr microseconds min_adopted_time = 2s;
 
+constexpr microseconds max_quarantine = 30min;
+
+// How long after its quarantine a request counts as one that crashes replicas.
+constexpr microseconds period_retention = 30min;
+
 } // namespace
 
 fingerprint fingerprint_of(const caller_query& query)
@@ -78,6 +83,14 @@
     }
 }
 
+void crash_detector::note_answered(const caller_query& query)
+{
+    if (!this->periods.empty())
+    {
+        this->periods.erase(fingerprint_of(query));
+    }
+}
+
 void crash_detector::note_down(const leaf_id& replica, instant now)
 {
     this->expire_before(now - crash_window);
@@ -100,6 +113,7 @@
                   [request_fingerprint](const suspected_crash& one)
                   { return one.request_fingerprint == request_fingerprint; });
     this->table.note_served(request_fingerprint);
+    this->periods.erase(request_fingerprint);
 }
 
 bool crash_detector::merge(const suspected_crash& crash)
@@ -117,11 +131,46 @@
         return false;
     }
     this->suspected_crashes.push_back(crash);
-    this->table.note_crash(crash.request_fingerprint, crash.replica, crash.at,
+    const fingerprint request_fingerprint = crash.request_fingerprint;
+    const auto period = this->periods.find(request_fingerprint);
+    const bool repeated = period != this->periods.end() &&
+                          !this->quarantined(request_fingerprint, crash.at) &&
+                          crash.at - period->second.until <= period_retention;
+    this->table.note_crash(request_fingerprint, crash.replica, crash.at,
                            standing::unknown);
+    if (repeated)
+    {
+        this->quarantine_again(request_fingerprint, period->second, crash.at);
+    }
+    else if (this->quarantined(request_fingerprint, crash.at))
+    {
+        const quarantine made =
+            this->table.describe(request_fingerprint, crash.at);
+        this->note_quarantine(request_fingerprint, made.remaining, crash.at);
+    }
     return true;
 }
 
+// Remembers a quarantine beyond its end.
+void crash_detector::note_quarantine(fingerprint request_fingerprint,
+                                     microseconds remaining, instant now)
+{
+    std::erase_if(this->periods, [now](const auto& one)
+                  { return now - one.second.until > period_retention; });
+    quarantine_period& period = this->periods[request_fingerprint];
+    period.length = std::max(period.length, remaining);
+    period.until = std::max(period.until, now + remaining);
+}
+
+// Quarantines a request that crashed a replica after its last quarantine.
+void crash_detector::quarantine_again(fingerprint request_fingerprint,
+                                      quarantine_period& last, instant now)
+{
+    last.length = std::min(2 * last.length, max_quarantine);
+    last.until = now + last.length;
+    this->table.merge(request_fingerprint, last.until, now);
+}
+
 bool crash_detector::merge(const quarantine& other, instant now)
 {
     if (other.remaining < min_adopted_time ||
@@ -130,6 +179,7 @@
         return false;
     }
     this->table.merge(other.request_fingerprint, now + other.remaining, now);
+    this->note_quarantine(other.request_fingerprint, other.remaining, now);
     return true;
 }
 
--- a/src/node/process/crash_detector.hpp
+++ b/src/node/process/crash_detector.hpp
@@ -35,9 +35,10 @@
 
 /// Counts a crash against a request when its call breaks and the replica then
 /// refuses connections. An answer clears the request. At the third crash,
-/// counted over all hosts, the request is quarantined. Handles a request that
-/// takes down each replica that it reaches while its caller resends it to any
-/// host.
+/// counted over all hosts, the request is quarantined. If it crashes a replica
+/// after that, it is quarantined at once and for twice as long. Handles a
+/// request that takes down each replica that it reaches while its caller
+/// resends it to any host.
 class crash_detector
 {
 public:
@@ -55,6 +56,9 @@
     void note_end(const caller_query& query, bool answered,
                   std::span<const leaf_id> broken, instant now);
 
+    /// Records that a request was answered, whether or not a call broke before.
+    void note_answered(const caller_query& query);
+
     /// Records that a replica refuses connections.
     void note_down(const leaf_id& replica, instant now);
 
@@ -84,7 +88,18 @@
                                    instant now);
 
 private:
+    /// The last quarantine of a request.
+    struct quarantine_period
+    {
+        microseconds length{0};
+        instant until{};
+    };
+
     void add_suspected_crash(const suspected_crash& one);
+    void note_quarantine(fingerprint request_fingerprint,
+                         microseconds remaining, instant now);
+    void quarantine_again(fingerprint request_fingerprint,
+                          quarantine_period& last, instant now);
     void expire_before(instant time);
 
     listener on_suspected_crash;
@@ -96,6 +111,9 @@
     std::map<leaf_id, instant> down_at;
     std::deque<suspected_crash> suspected_crashes;
 
+    /// Requests that were in quarantine and that no replica has answered since.
+    std::map<fingerprint, quarantine_period> periods;
+
     /// The last quarantine that was sent to another host.
     fingerprint last_sent;
 };
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -73,6 +73,10 @@
     {
         reply = co_await this->forward(state);
     }
+    if (reply.status < 300)
+    {
+        this->shared.crashes.note_answered(*query);
+    }
     this->record_end(*state, reply);
     co_return reply;
 }
--- a/test/node_crash_test.cpp
+++ b/test/node_crash_test.cpp
@@ -1,5 +1,6 @@
 #include "node_session_fixture.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -143,6 +144,67 @@
     CHECK_FALSE(second.quarantined(request, now));
 }
 
+// Guards against a request that crashes replicas again each time that its
+// quarantine ends, for as long as its caller resends it.
+TEST_CASE("a request that keeps crashing replicas is quarantined for longer")
+{
+    const auto ignore = [](const suspected_crash&) {
+    };
+    // The caller resends to both hosts in turn, which know of each other's
+    // crashes and quarantines.
+    std::array<crash_detector, 2> hosts{crash_detector(ignore),
+                                        crash_detector(ignore)};
+    const instant begin = scripted_targets::now();
+    const fingerprint request(7);
+    std::size_t sends = 0;
+    std::size_t rounds = 0;
+    for (instant now = begin; now < begin + 15min; now += 3s)
+    {
+        crash_detector& host = hosts.at(rounds % 2);
+        crash_detector& other = hosts.at(++rounds % 2);
+        for (const quarantine& one : other.next_quarantines(8, now))
+        {
+            host.merge(one, now);
+        }
+        if (!host.quarantined(request, now))
+        {
+            const suspected_crash crash{request,
+                                        leaf_id(std::to_string(++sends)), now};
+            host.merge(crash);
+            other.merge(crash);
+        }
+    }
+    constexpr std::size_t crashes_before_quarantine = 3;
+    constexpr std::size_t allowed_retries = 3;
+    CHECK(sends >= crashes_before_quarantine);
+    CHECK(sends <= crashes_before_quarantine + allowed_retries);
+}
+
+TEST_CASE("an answer after its quarantine clears a request")
+{
+    const bool answered = GENERATE(false, true);
+    node_session_fixture node;
+    caller_query query;
+    query.method = "GET";
+    query.host = "h";
+    query.target = "/one/x";
+    const fingerprint request = fingerprint_of(query);
+    quarantine_at(node.crashes, request, scripted_targets::now());
+    REQUIRE(node.crashes.quarantined(request, scripted_targets::now()));
+    node.run.run_until(61s);
+    if (answered)
+    {
+        node.start(query.target);
+        node.run.run_until(62s);
+        REQUIRE(node.replies.size() == 1);
+        REQUIRE(node.replies[0].status == 200);
+    }
+    node.crashes.merge(
+        suspected_crash{request, leaf_id("d"), scripted_targets::now()});
+    CHECK(node.crashes.quarantined(request, scripted_targets::now()) !=
+          answered);
+}
+
 TEST_CASE("calls that break without a crash do not quarantine a request")
 {
     node_session_fixture node;
