Take an answer whose status is of no class of HTTP for a broken one

Here, 600 and 999 reached the caller as the leaf's answer; 000 to 099 were taken for an interim response, and the call waited until its deadline.

Cause: the parser accepts any three digits, and nothing else looked at them.

Fix: once the head is complete, a status outside 100 to 599 ends the call as broken and closes the connection, whatever other headers say.

Evidence: without the check "a response whose status is of no class of HTTP ends the call as broken" fails, with 600 and 999 as answers and with 000 without an end until the deadline.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -108,6 +108,7 @@
     boost::asio::awaitable<void> read();
     bool parse();
     void parse_eof();
+    [[nodiscard]] bool has_valid_status() const;
     bool finish_response();
     void check_attribution(target_reply& reply);
     bool charge_memory();
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -1,3 +1,4 @@
+#include "node/connection/http_types.hpp"
 #include "node/connection/socket_options.hpp"
 #include "node/connection/target_connection.hpp"
 #include "process/log.hpp"
@@ -163,6 +164,10 @@
         boost::system::error_code parse_error;
         const auto used = this->response->put(this->buffer.data(), parse_error);
         this->buffer.consume(used);
+        if (this->response->is_header_done() && !this->has_valid_status())
+        {
+            return false;
+        }
         if (this->response->is_done())
         {
             if (!this->finish_response())
@@ -187,6 +192,21 @@
     return true;
 }
 
+template <target_codec Codec>
+bool target_connection<Codec>::has_valid_status() const
+{
+    const unsigned status = this->response->get().result_int();
+    if (is_http_status(status))
+    {
+        return true;
+    }
+    log_event(log_level::warning, "answer_status_invalid",
+              {{"request", this->call->query->id.value},
+               {"replica", this->call->to.value},
+               {"status", status}});
+    return false;
+}
+
 // Counts the bytes of the answer read so far. Returns false when the host has
 // no room for them.
 template <target_codec Codec>
--- a/test/node_target_test.cpp
+++ b/test/node_target_test.cpp
@@ -153,6 +153,30 @@
     CHECK(node.results[0].end == call_end::broken);
 }
 
+// Guards against a status such as 000 that reaches the caller, or that keeps a
+// call waiting like an interim response.
+TEST_CASE("a response whose status is of no class of HTTP ends the call as "
+          "broken")
+{
+    const std::string status =
+        GENERATE(as<std::string>{}, "000", "042", "099", "600", "999");
+    const std::string fields = GENERATE(
+        as<std::string>{}, "", "Content-Length: 4\r\n", "Connection: close\r\n",
+        "X-Not-Executed: 1\r\nContent-Length: 4\r\n");
+    pool_fixture node(
+        [&](const std::string&, std::size_t)
+        {
+            return raw_action{"HTTP/1.1 " + status + " Trouble\r\n" +
+                                  "X-Response-Signature: sig\r\n" + fields +
+                                  "\r\nbody",
+                              fields.starts_with("Connection")};
+        });
+    node.start("one", false, 60s);
+    node.await_results(1);
+    REQUIRE(node.results.size() == 1);
+    CHECK(node.results[0].end == call_end::broken);
+}
+
 TEST_CASE("an endless head or body ends the call as broken")
 {
     const std::string begin = GENERATE(
