--- a/soak/callers.py
+++ b/soak/callers.py
@@ -77,6 +77,8 @@
         """Verifies an answer that has arrived whole."""
         status, headers, content = answer
         self.note_outcome(request, status)
+        if not 200 <= status < 600:
+            self.world.report_violation("mixed", f"{request.id}: answered with status {status}")
         if status == 200:
             self.check_answer(request.kind, request.id, headers, content)
             if request.kind == "version":
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -22,6 +22,13 @@
 ENDLESS_PAUSE_S = 0.1
 ENDLESS_S = 30.0
 
+# Share of the rejections that are sent a second time, and when.
+REPEATED_SHARE = 0.3
+REPEATED_AFTER_S = 0.01
+
+# Statuses of no class of HTTP.
+ODD_STATUSES = ["000", "042", "099", "600", "999"]
+
 
 def now_ms():
     return time.monotonic() * 1000.0
@@ -276,8 +283,11 @@
             writer.write(reply(421, b"", [("X-Instance-Id", self.id)]))
             return True
         fault = self.fault if self.rng.random() < self.share else None
-        if fault == "shed":
-            writer.write(reply(503, b"", [("X-Not-Executed", "1"), *self.state_headers()]))
+        if fault in ("shed", "shed-twice"):
+            rejection = reply(503, b"", [("X-Not-Executed", "1"), *self.state_headers()])
+            writer.write(rejection)
+            if fault == "shed-twice" and self.rng.random() < REPEATED_SHARE:
+                asyncio.get_running_loop().call_later(REPEATED_AFTER_S, writer.write, rejection)
             return True
         if fault == "reset-before":
             writer.transport.abort()
@@ -305,6 +315,9 @@
         if fault == "error":
             writer.write(reply(500, b"failed", signed))
             return True
+        if fault == "odd-status":
+            writer.write(reply(self.rng.choice(ODD_STATUSES), records, signed))
+            return True
         answer = reply(200, records, signed)
         if fault == "cut":
             writer.write(answer[:-3])
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -52,8 +52,8 @@
     USUAL_ENTRY.join("{}").replace(":9", ":65536"), USUAL_ENTRY.join("{}").replace(":9", ":0"),
     '{"backend":"desk"}', '[]', "\xff\xfe\x00", "")]
 ODD_KEYS = ["b&s", "b+s", "b s", "b%26", "b#s", "b?s=1", "a/b/c", "b\r\ns", "b\u00e9", "~" * 190]
-LEAF_FAULTS = ["shed", "error", "slow", "silent", "reset", "reset-before", "cut", "extra",
-               "unframed"]
+LEAF_FAULTS = ["shed", "shed-twice", "error", "slow", "silent", "reset", "reset-before", "cut",
+               "extra", "unframed", "odd-status"]
 ENDLESS_FAULTS = ["endless-chunked", "endless-unframed"]
 # Signals that a host may get besides, while it stops.
 SIGNALS_IN_A_STOP = [signal.SIGTERM, signal.SIGTERM, signal.SIGHUP]
