--- a/test/leaving_replica_test.cpp
+++ b/test/leaving_replica_test.cpp
@@ -17,16 +17,6 @@
 constexpr std::size_t calls = 12;
 constexpr auto grace = 2'000ms;
 
-replica describe(const std::string& id, const std::string& address)
-{
-    replica one;
-    one.id = leaf_id(id);
-    one.service = service_name("s");
-    one.address = http_address(address);
-    one.slots = 4;
-    return one;
-}
-
 /// A pool whose replica i-1 never answers: some calls are in progress there,
 /// the others wait for it on this host.
 struct busy_fixture : pool_fixture
@@ -66,7 +56,7 @@
 {
     busy_fixture node;
     REQUIRE(node.sent < calls);
-    replica leaving = describe("i-1", node.server.address());
+    replica leaving = busy_fixture::describe("i-1", node.server.address());
     leaving.leaving = true;
     node.pool.set_replica(leaving);
     node.settle();
--- a/test/target_pool_fixture.hpp
+++ b/test/target_pool_fixture.hpp
@@ -44,13 +44,19 @@
     }
 
     void add_replica(const std::string& id, const std::string& address)
+    {
+        this->pool.set_replica(describe(id, address));
+    }
+
+    [[nodiscard]] static replica describe(const std::string& id,
+                                          const std::string& address)
     {
         replica one;
         one.id = leaf_id(id);
         one.service = service_name("s");
         one.address = http_address(address);
         one.slots = 4;
-        this->pool.set_replica(one);
+        return one;
     }
 
     std::shared_ptr<target_call> start(const std::string& id,
