--- a/src/node/process/crash_detector.cpp
+++ b/src/node/process/crash_detector.cpp
@@ -131,6 +131,7 @@
         return false;
     }
     this->suspected_crashes.push_back(crash);
+
     const fingerprint request_fingerprint = crash.request_fingerprint;
     const auto period = this->periods.find(request_fingerprint);
     const bool repeated = period != this->periods.end() &&
--- a/src/node/process/crash_detector.hpp
+++ b/src/node/process/crash_detector.hpp
@@ -5,6 +5,7 @@
 #include "process/quarantine_table.hpp"
 #include "version/ids.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -19,7 +20,7 @@
 
 /// A broken call and a refused connection this close together are one crash,
 /// since the next connection is attempted at once.
-inline constexpr microseconds crash_window{1'000'000};
+inline constexpr microseconds crash_window = std::chrono::seconds(1);
 
 /// Hashes method, host, target and body.
 [[nodiscard]] fingerprint fingerprint_of(const caller_query& query);
--- a/src/node/process/request_split.cpp
+++ b/src/node/process/request_split.cpp
@@ -32,8 +32,7 @@
         total += share(part);
     }
 
-    // The last part with a share is also chosen when the rest is not zero by
-    // rounding.
+    // Rounding may leave a rest beyond the last part; that part is chosen then.
     double rest = this->position * total;
     const split_part* chosen = &parts.front();
     for (const split_part& part : parts)
