Reject times in datagrams that overflow in microseconds

Cause: times arrive in milliseconds and were compared with a bound in microseconds; the conversion overflows beyond 292,000 years, and such a limit or quarantine could pass as recent. Found on reading the new field. Fix: the bound is in milliseconds. Evidence: "a datagram with a time beyond the range of microseconds is rejected" fails for both fields without it.

--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -16,7 +16,7 @@
 using nlohmann::json;
 
 // Upper bound on accepted ages; hosts report a crash for minutes at most.
-constexpr microseconds max_age = std::chrono::hours(1);
+constexpr milliseconds max_age = std::chrono::hours(1);
 
 // Array index of a field that hosts of the first release do not send.
 constexpr std::size_t links_index = 9;
--- a/test/node_member_list_test.cpp
+++ b/test/node_member_list_test.cpp
@@ -5,9 +5,11 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <limits>
 #include <map>
 #include <string>
@@ -276,6 +278,26 @@
     CHECK_FALSE(decode_datagram(encode_datagram(sent, at(0us)), at(0us)));
 }
 
+// Guards against a time in milliseconds that is in range only because its
+// conversion to microseconds overflows.
+TEST_CASE("a datagram with a time beyond the range of microseconds is rejected")
+{
+    using nlohmann::json;
+    peer_datagram sent;
+    sent.limits = {{leaf_id("i-1"), request_rate(1), at(0us), at(0us)}};
+    sent.quarantines = {{fingerprint(1), {}, 1s}};
+    const std::string bytes = encode_datagram(sent, at(0us));
+    json message = json::from_msgpack(bytes);
+    // 2^61 ms, of which the lower 64 bits are zero in microseconds.
+    constexpr std::int64_t wraps_to_zero = std::int64_t{1} << 61;
+    json& time = GENERATE(false, true) ? message.at(7).at(0).at(1)
+                                       : message.at(8).at(0).at(1);
+    time = wraps_to_zero;
+    const auto changed = json::to_msgpack(message);
+    CHECK_FALSE(
+        decode_datagram(std::string(changed.begin(), changed.end()), at(0us)));
+}
+
 TEST_CASE(
     "datagrams survive a round trip through the codec, and malformed ones "
     "are rejected")
