--- a/review/15/case.py
+++ b/review/15/case.py
@@ -52,7 +52,7 @@
     found = []
     while len(found) < wanted:
         before = {node: node.door.calls.total() for node in world.nodes}
-        await asyncio.sleep(10 if found else 4)
+        await asyncio.sleep(14 if found else 4)
         calls = {node: node.door.calls.total() - before[node] for node in world.nodes
                  if node not in found}
         new = sorted((node for node in calls if calls[node] > 1), key=lambda one: -calls[one])
