--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -32,8 +32,13 @@
 constexpr std::size_t update_index = 6;
 constexpr std::size_t limits_index = 7;
 constexpr std::size_t quarantines_index = 8;
+constexpr std::size_t era_index = 9;
 const item_update no_update{1, 0, {}};
 
+// Array index of the era of an update. An update or a datagram without one is
+// of the era of stores that have none.
+constexpr std::size_t update_era_index = 3;
+
 // Rates are sent as whole hundredths, which takes fewer bytes than a double.
 constexpr double rate_unit = 0.01;
 
@@ -171,7 +176,13 @@
         }
         changes.push_back(std::move(change));
     }
-    return json::array({update.after, update.revision, std::move(changes)});
+    json encoded =
+        json::array({update.after, update.revision, std::move(changes)});
+    if (update.era != store_era{})
+    {
+        encoded.push_back(update.era.value);
+    }
+    return encoded;
 }
 
 item_update to_update(const json& from)
@@ -189,6 +200,10 @@
         }
         update.changes.push_back(std::move(change));
     }
+    if (from.size() > update_era_index)
+    {
+        update.era = store_era(from.at(update_era_index).get<std::uint64_t>());
+    }
     return update;
 }
 
@@ -208,11 +223,13 @@
     {
         gossip.push_back(to_json(one));
     }
-    json message = json::array(
-        {static_cast<unsigned>(datagram.kind), to_json(datagram.from),
-         datagram.revision, datagram.age ? json(datagram.age->count()) : json(),
-         std::move(gossip), std::move(suspected_crashes)});
-    const bool has_quarantines = !datagram.quarantines.empty();
+    json message =
+        json::array({static_cast<unsigned>(datagram.kind),
+                     to_json(datagram.from), datagram.position.revision,
+                     datagram.age ? json(datagram.age->count()) : json(),
+                     std::move(gossip), std::move(suspected_crashes)});
+    const bool has_era = datagram.position.era != store_era{};
+    const bool has_quarantines = !datagram.quarantines.empty() || has_era;
     const bool has_limits = !datagram.limits.empty() || has_quarantines;
     if (datagram.update || has_limits)
     {
@@ -236,6 +253,10 @@
         }
         message.push_back(std::move(quarantines));
     }
+    if (has_era)
+    {
+        message.push_back(datagram.position.era.value);
+    }
     return encode_message(message);
 }
 
@@ -255,7 +276,7 @@
             {
                 return std::nullopt;
             }
-            datagram.revision = message.at(2).get<store_revision>();
+            datagram.position.revision = message.at(2).get<store_revision>();
             if (!message.at(3).is_null())
             {
                 datagram.age = milliseconds(message.at(3).get<std::int64_t>());
@@ -311,6 +332,11 @@
                     datagram.quarantines.push_back(*decoded);
                 }
             }
+            if (message.size() > era_index)
+            {
+                datagram.position.era =
+                    store_era(message.at(era_index).get<std::uint64_t>());
+            }
             return datagram;
         });
 }
--- a/src/node/connection/peer_datagram.hpp
+++ b/src/node/connection/peer_datagram.hpp
@@ -30,7 +30,7 @@
 {
     datagram_kind kind = datagram_kind::gossip;
     member from;
-    store_revision revision = 0;
+    store_position position;
 
     /// Time since the store confirmed the sender's view; null when it never
     /// has.
@@ -48,7 +48,7 @@
     /// Requests that are in quarantine, with the time that is left.
     std::vector<quarantine> quarantines;
 
-    /// Changes up to `revision`; null when there are too many.
+    /// Changes up to `position`; null when there are too many.
     std::optional<item_update> update;
 };
 
--- a/src/node/process/evacuated_domains.cpp
+++ b/src/node/process/evacuated_domains.cpp
@@ -7,7 +7,7 @@
 
 std::optional<milliseconds> evacuated_domains::set(const failure_domain& domain,
                                                    bool in_force,
-                                                   store_revision as_of,
+                                                   store_position as_of,
                                                    instant now)
 {
     const auto found = this->since.find(domain);
--- a/src/node/process/evacuated_domains.hpp
+++ b/src/node/process/evacuated_domains.hpp
@@ -1,7 +1,7 @@
 /// The failure domains to whose replicas nothing may be sent.
 #pragma once
 
-#include "node/version/item_cache.hpp"
+#include "node/version/store_position.hpp"
 #include "process/instant.hpp"
 #include "version/ids.hpp"
 
@@ -19,11 +19,11 @@
 class evacuated_domains
 {
 public:
-    /// Records whether a domain is evacuated, as of a revision of the store.
-    /// Returns how long the state before lasted, zero when it is not known;
-    /// nothing when it does not change.
+    /// Records whether a domain is evacuated, as of a position in the store's
+    /// history. Returns how long the state before lasted, zero when it is not
+    /// known; nothing when it does not change.
     std::optional<milliseconds> set(const failure_domain& domain, bool in_force,
-                                    store_revision as_of, instant now);
+                                    store_position as_of, instant now);
 
     [[nodiscard]] bool contains(const failure_domain& domain) const
     {
@@ -35,8 +35,8 @@
         return this->since.size();
     }
 
-    /// Returns the revision of the last change; zero before the first.
-    [[nodiscard]] store_revision revision() const
+    /// Returns the position of the last change; zero before the first.
+    [[nodiscard]] store_position position() const
     {
         return this->changed_at;
     }
@@ -54,7 +54,7 @@
 
 private:
     std::map<failure_domain, instant> since;
-    store_revision changed_at = 0;
+    store_position changed_at;
     std::uint64_t moved = 0;
 };
 
--- a/src/node/process/item_source.hpp
+++ b/src/node/process/item_source.hpp
@@ -30,6 +30,9 @@
 
     /// Why there is no update, for the log.
     std::string reason;
+
+    /// The store's era, if it responded at all.
+    std::optional<store_era> era{};
 };
 
 /// Reads the items that concern this system and counts its calls. A watch
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node/connection/http_server.hpp"
+#include "node/process/deferred_changes.hpp"
 #include "node/process/delegate_links.hpp"
 #include "node/process/delegate_pool.hpp"
 #include "node/process/directory_request.hpp"
@@ -73,7 +74,10 @@
     boost::asio::awaitable<void> drain();
     void reload();
     void handle_crash(const suspected_crash& crash);
-    void apply_item(const item_change& change);
+    void take_change(const item_change& change);
+    void defer_change(const item_change& change, milliseconds wait);
+    void apply_deferred();
+    void apply_item(const item_change& change, const decoded_item& item);
     void apply_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> run_periodic_tasks();
     void update_shares();
@@ -108,6 +112,7 @@
     query_service<real_runtime, pool> queries;
     subquery_service<real_runtime, pool> subqueries;
     store_view view;
+    deferred_changes deferred;
     member_list members;
     peer_exchange peers;
     typename Adapter::source store;
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -123,7 +123,7 @@
       shared{this->run,     this->targets, this->repeats,  this->requests,
              this->metrics, this->crashes, this->delegates},
       queries(this->shared), subqueries(this->shared),
-      view([this](const item_change& change) { this->apply_item(change); }),
+      view([this](const item_change& change) { this->take_change(change); }),
       members(make_own_member(this->settings, this->run.random()),
               to_instant(std::chrono::steady_clock::now())),
       peers(context, this->run, this->members, this->view, this->crashes,
@@ -164,6 +164,11 @@
     this->targets.set_cold_bound(this->settings.cold_bound);
     this->targets.on_connect_failed([this](const leaf_id& one, instant now)
                                     { this->crashes.note_down(one, now); });
+    this->view.on_restore(
+        [this] {
+            this->deferred.restart(
+                to_instant(std::chrono::steady_clock::now()));
+        });
     this->started = std::chrono::steady_clock::now();
     this->update_shares();
 }
@@ -251,7 +256,8 @@
     stats.slack_share = this->slack.share();
     const evacuated_domains& evacuated = this->targets.evacuations();
     stats.evacuated_domains = static_cast<double>(evacuated.count());
-    stats.evacuation_revision = static_cast<double>(evacuated.revision());
+    stats.evacuation_revision =
+        static_cast<double>(evacuated.position().revision);
     stats.evacuation_moved_calls = evacuated.moved_calls();
     stats.limited_replicas =
         static_cast<double>(this->targets.limited_replica_count());
@@ -264,6 +270,11 @@
     stats.limited_by_purpose = this->targets.limited_send_total();
     stats.configuration_version =
         this->routes ? static_cast<double>(this->routes->version().value) : 0;
+    const store_position position = this->view.view().position();
+    stats.store_era = static_cast<double>(position.era.value);
+    stats.store_revision = static_cast<double>(position.revision);
+    stats.store_restores = this->view.restore_count();
+    stats.deferred_changes = static_cast<double>(this->deferred.count());
     const milliseconds age = this->view.age(now).value_or(milliseconds(0));
     stats.view_age_seconds = static_cast<double>(age.count()) / 1000.0;
     stats.connections = static_cast<double>(this->callers.connection_count());
@@ -400,11 +411,64 @@
     this->peers.announce_crash(crash);
 }
 
-// Applies one change of the store.
+// Follows a change of the store, later if it takes back what this host learned
+// before the store was restored.
 template <class Adapter>
-void node<Adapter>::apply_item(const item_change& change)
+void node<Adapter>::take_change(const item_change& change)
 {
     const decoded_item item = Adapter::decode(change);
+    this->deferred.drop(change.key);
+    if (change.restored)
+    {
+        const auto id = replica_of(item);
+        const auto wait = restored_item_wait(
+            item, id ? this->targets.find_known(*id) : std::nullopt,
+            this->settings.registration_timeout);
+        if (wait)
+        {
+            this->defer_change(change, *wait);
+            return;
+        }
+    }
+    this->apply_item(change, item);
+}
+
+template <class Adapter>
+void node<Adapter>::defer_change(const item_change& change, milliseconds wait)
+{
+    log_event(log_level::info, "change_deferred",
+              {{"key", change.key},
+               {"removed", !change.value},
+               {"era", change.era.value},
+               {"wait_ms", wait.count()}});
+    this->deferred.add(change, wait,
+                       to_instant(std::chrono::steady_clock::now()));
+}
+
+// Follows the deferred changes whose items were not written again in time.
+template <class Adapter>
+void node<Adapter>::apply_deferred()
+{
+    const auto confirmed = this->view.confirmed();
+    if (!confirmed)
+    {
+        return;
+    }
+    for (const item_change& change : this->deferred.take_due(*confirmed))
+    {
+        log_event(log_level::info, "deferred_change_followed",
+                  {{"key", change.key},
+                   {"removed", !change.value},
+                   {"era", change.era.value}});
+        this->apply_item(change, Adapter::decode(change));
+    }
+}
+
+// Applies one change of the store.
+template <class Adapter>
+void node<Adapter>::apply_item(const item_change& change,
+                               const decoded_item& item)
+{
     std::visit(
         [this, &change](const auto& one)
         {
@@ -416,7 +480,7 @@
             }
             else if constexpr (std::is_same_v<type, replica>)
             {
-                this->targets.set_replica(one, change.revision);
+                this->targets.set_replica(one, change.position());
             }
             else if constexpr (std::is_same_v<type, replica_removed>)
             {
@@ -425,7 +489,7 @@
             else if constexpr (std::is_same_v<type, domain_evacuation>)
             {
                 this->targets.set_evacuation(one.domain, one.in_force,
-                                             change.revision);
+                                             change.position());
                 // Shares follow the hosts that serve, once the whole update has
                 // been applied.
                 boost::asio::post(this->context,
@@ -480,6 +544,8 @@
         timer.expires_after(node_bounds::update_interval);
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
+        this->apply_deferred();
+        this->targets.expire_departed();
         this->update_shares();
         this->requests.report_dropped();
         flush_log();
@@ -525,7 +591,9 @@
         this->view.age(to_instant(std::chrono::steady_clock::now()));
     log_event(log_level::info, "view",
               {{"version", this->routes ? this->routes->version().value : 0},
-               {"revision", this->view.view().revision()},
+               {"era", this->view.view().position().era.value},
+               {"revision", this->view.view().position().revision},
+               {"deferred", this->deferred.count()},
                {"age_ms", age ? age->count() : -1},
                {"store_calls", this->store.calls()}});
 }
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -75,6 +75,9 @@
     this->raise_counter("basilpath_node_evacuation_moved_calls_total",
                         "Calls that left the queue of an evacuated replica.",
                         stats.evacuation_moved_calls);
+    this->raise_counter("basilpath_node_store_restores_total",
+                        "Times that the view followed a restored store.",
+                        stats.store_restores);
     const auto gauge =
         [this](std::string_view name, std::string_view help, double value)
     {
@@ -110,6 +113,15 @@
     gauge("basilpath_node_view_age_seconds",
           "Time since the store confirmed what is known of it.",
           stats.view_age_seconds);
+    gauge("basilpath_node_store_era",
+          "Era of the store in this host's view; zero if it has none.",
+          stats.store_era);
+    gauge("basilpath_node_store_revision",
+          "Revision of the store, within its era, in this host's view.",
+          stats.store_revision);
+    gauge("basilpath_node_deferred_changes",
+          "Changes by a restored store that this host does not follow yet.",
+          stats.deferred_changes);
     gauge("basilpath_node_caller_connections", "Open connections of callers.",
           stats.connections);
     gauge("basilpath_node_message_bytes",
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -36,6 +36,10 @@
     limited_sends::by_purpose limited_by_purpose{};
     double configuration_version = 0;
     double view_age_seconds = 0;
+    double store_era = 0;
+    double store_revision = 0;
+    std::uint64_t store_restores = 0;
+    double deferred_changes = 0;
     double connections = 0;
     traffic_meter traffic;
 };
--- a/src/node/process/node_settings.cpp
+++ b/src/node/process/node_settings.cpp
@@ -15,6 +15,7 @@
 {
     this->shutdown_timeout = other.shutdown_timeout;
     this->replica_drain_timeout = other.replica_drain_timeout;
+    this->registration_timeout = other.registration_timeout;
     this->directory_max_age = other.directory_max_age;
     this->domains = other.domains;
     this->memory_bytes = other.memory_bytes;
--- a/src/node/process/node_settings.hpp
+++ b/src/node/process/node_settings.hpp
@@ -82,6 +82,9 @@
     /// Time within which a leaving replica gets its last new request.
     milliseconds replica_drain_timeout{3'000};
 
+    /// Time without a sign of life after which the store removes a replica.
+    milliseconds registration_timeout{3'600};
+
     /// Retry budget of all hosts together in each window: this share of the
     /// requests, plus the slack.
     double repeat_ratio = 0.2;
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -68,6 +68,7 @@
 constexpr auto local_offer_delay = 100ms;
 
 constexpr std::string_view view_path = "/view?after=";
+constexpr std::string_view era_parameter = "&era=";
 
 instant now()
 {
@@ -107,7 +108,7 @@
 void peer_exchange::start()
 {
     this->server.start();
-    this->view.on_advance([this](store_revision before)
+    this->view.on_advance([this](store_position before)
                           { this->push_to_some(before); });
     asio::co_spawn(this->context, this->receive(), asio::detached);
     asio::co_spawn(this->context, this->probe(), asio::detached);
@@ -121,7 +122,7 @@
 
 void peer_exchange::push_state()
 {
-    this->push_to_some(this->view.view().revision());
+    this->push_to_some(this->view.view().position());
 }
 
 asio::awaitable<void> peer_exchange::receive()
@@ -159,7 +160,7 @@
     asio::steady_timer timer(this->context);
     while (true)
     {
-        const store_revision known = this->view.view().revision();
+        const store_position known = this->view.view().position();
         for (const peer_address& to : this->members.next_probes(now()))
         {
             this->send(to, datagram_kind::probe, known);
@@ -174,7 +175,7 @@
         }
         ++this->rounds;
         this->log_member_changes();
-        const bool has_no_view = this->view.view().revision() == 0;
+        const bool has_no_view = this->view.view().empty();
         timer.expires_after(has_no_view ? first_probe_interval
                                         : probe_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -187,8 +188,9 @@
     this->fetching = true;
     node_http_client client(this->context.get_executor(),
                             http_address(from.value));
-    std::string target =
-        fmt::format("{}{}", view_path, this->view.view().revision());
+    const store_position held = this->view.view().position();
+    std::string target = fmt::format("{}{}{}{}", view_path, held.revision,
+                                     era_parameter, held.era.value);
     const auto response = co_await client.get(std::move(target), fetch_timeout);
     client.close();
     this->fetching = false;
@@ -202,13 +204,21 @@
     }
     this->count_remote(from, traffic_purpose::views, response->body().size());
     // The age of the other view arrives with its next datagram.
-    this->view.apply(*update, std::nullopt);
+    const update_result result = this->view.apply(*update, std::nullopt);
+    if (result != update_result::applied)
+    {
+        log_event(log_level::info, "view_fetch_refused",
+                  {{"from", from.value},
+                   {"reason", to_string(result)},
+                   {"era", update->era.value},
+                   {"revision", update->revision}});
+    }
 }
 
 // Fetches from a host of another failure domain, unless one of this domain
 // delivers the same changes in the meantime.
 asio::awaitable<void> peer_exchange::fetch_later(peer_address from,
-                                                 store_revision offered)
+                                                 store_position offered)
 {
     if (std::exchange(this->fetch_scheduled, true))
     {
@@ -218,7 +228,7 @@
     timer.expires_after(local_offer_delay);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     this->fetch_scheduled = false;
-    if (this->view.view().revision() < offered && !this->fetching)
+    if (this->view.view().position() < offered && !this->fetching)
     {
         co_await this->fetch(std::move(from));
     }
@@ -229,11 +239,20 @@
 {
     const std::string_view target(request->target().data(),
                                   request->target().size());
-    store_revision after = 0;
+    // Hosts of earlier releases do not send an era.
+    store_position after{this->view.view().position().era, 0};
     if (target.starts_with(view_path))
     {
-        const std::string_view number = target.substr(view_path.size());
-        std::from_chars(number.data(), number.data() + number.size(), after);
+        const char* const end = target.data() + target.size();
+        const char* const rest =
+            std::from_chars(target.data() + view_path.size(), end,
+                            after.revision)
+                .ptr;
+        const std::string_view era(rest, end);
+        if (era.starts_with(era_parameter))
+        {
+            std::from_chars(rest + era_parameter.size(), end, after.era.value);
+        }
     }
     http_response response(boost::beast::http::status::ok, 11);
     response.body() = encode_update(this->view.view().since(after));
@@ -277,7 +296,7 @@
     if (datagram.kind == datagram_kind::probe)
     {
         this->send(datagram.from.address, datagram_kind::ack,
-                   datagram.revision);
+                   datagram.position);
     }
 }
 
@@ -289,18 +308,18 @@
     {
         this->view.apply(*datagram.update, time - age);
     }
-    const store_revision own_revision = this->view.view().revision();
-    if (datagram.revision == own_revision && has_age && own_revision > 0)
+    const store_position held = this->view.view().position();
+    if (datagram.position == held && has_age && !this->view.view().empty())
     {
         this->view.confirm(time - age);
     }
-    else if (datagram.revision > own_revision && !this->fetching)
+    else if (datagram.position > held && !this->fetching)
     {
         const bool delayed =
             this->members.limits_traffic_to(datagram.from.address);
         asio::co_spawn(this->context,
                        delayed ? this->fetch_later(datagram.from.address,
-                                                   datagram.revision)
+                                                   datagram.position)
                                : this->fetch(datagram.from.address),
                        asio::detached);
     }
@@ -310,15 +329,16 @@
 // they are few. A datagram that cannot be sent now is dropped; the next one
 // follows soon.
 void peer_exchange::send(const peer_address& to, datagram_kind kind,
-                         store_revision known)
+                         store_position known)
 {
     peer_datagram datagram;
     datagram.kind = kind;
     datagram.from = this->members.own();
-    datagram.revision = this->view.view().revision();
+    datagram.position = this->view.view().position();
     datagram.age = this->view.age(now());
     datagram.gossip = this->members.gossip(gossip_limit);
-    if (known > 0 && known < datagram.revision)
+    if (known.revision > 0 && known.era == datagram.position.era &&
+        known < datagram.position)
     {
         item_update update = this->view.view().since(known);
         if (update.after > 0 && encode_update(update).size() < update_limit)
@@ -385,7 +405,7 @@
     this->push_state();
 }
 
-void peer_exchange::push_to_some(store_revision known)
+void peer_exchange::push_to_some(store_position known)
 {
     for (const peer_address& to :
          this->members.push_targets(push_fanout, this->run.random()))
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -54,15 +54,15 @@
     boost::asio::awaitable<void> probe();
     boost::asio::awaitable<void> fetch(peer_address from);
     boost::asio::awaitable<void> fetch_later(peer_address from,
-                                             store_revision offered);
+                                             store_position offered);
     boost::asio::awaitable<http_response>
     serve_view(std::shared_ptr<http_request> request);
     void count_remote(const peer_address& other, traffic_purpose purpose,
                       std::size_t bytes);
     void handle_datagram(const peer_datagram& datagram);
     void update_view(const peer_datagram& datagram, instant now);
-    void send(const peer_address& to, datagram_kind kind, store_revision known);
-    void push_to_some(store_revision known);
+    void send(const peer_address& to, datagram_kind kind, store_position known);
+    void push_to_some(store_position known);
     void log_member_changes();
     [[nodiscard]] std::vector<peer_address> unreached_seeds() const;
 
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -6,8 +6,8 @@
 #include "node/process/limit_bucket.hpp"
 #include "node/process/memory_budget.hpp"
 #include "node/process/replica_health.hpp"
-#include "node/version/item_cache.hpp"
 #include "node/version/replica.hpp"
+#include "node/version/store_position.hpp"
 
 #include <algorithm>
 #include <concepts>
@@ -56,9 +56,9 @@
     /// Whether the limit of cold replicas is among them.
     bool cold_limit = false;
 
-    /// The revision at which the replica was assumed cold as its domain's
-    /// evacuation ended; zero once the replica has said whether it is.
-    store_revision assumed_cold_at = 0;
+    /// The position at which the replica was assumed cold as its domain's
+    /// evacuation ended; null once the replica has said whether it is.
+    std::optional<store_position> assumed_cold_at;
 
     /// A delisted replica is removed at this time unless it is listed again.
     instant remove_at{};
--- a/src/node/process/store_reader.hpp
+++ b/src/node/process/store_reader.hpp
@@ -39,10 +39,12 @@
 
 private:
     [[nodiscard]] bool is_due(instant now) const;
+    [[nodiscard]] bool needs_full_read() const;
     boost::asio::awaitable<bool> read_all();
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<void> pause(milliseconds wait);
-    void apply(const item_update& update);
+    [[nodiscard]] bool apply(const item_update& update);
+    void record_era(const read_result& result);
     void record_result(const read_result& result);
     void record_turn(bool due, instant now);
 
@@ -55,6 +57,9 @@
     /// Until then a starting host waits for other hosts to send the view.
     instant first_read_at;
     bool full_read_due = true;
+
+    /// The latest era in a response of the store.
+    store_era latest_era;
     dependency_state store;
 
     /// Whether reads of the store continue the view.
--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -94,7 +94,7 @@
             continue;
         }
         bool succeeded = false;
-        if (this->full_read_due || this->view.view().revision() == 0)
+        if (this->needs_full_read())
         {
             succeeded = co_await this->read_all();
         }
@@ -117,7 +117,7 @@
 {
     const auto age = this->view.age(now);
     const std::size_t rank = this->members.rank();
-    if (!age || this->view.view().revision() == 0)
+    if (!age || this->view.view().empty())
     {
         return now >= this->first_read_at;
     }
@@ -131,6 +131,15 @@
                       steps * store_reader_bounds::takeover_step;
 }
 
+// Returns whether the changes since the view's position cannot be watched: the
+// store no longer has them, or has come back from a copy since.
+template <runtime Runtime, item_source Source>
+bool store_reader<Runtime, Source>::needs_full_read() const
+{
+    return this->full_read_due || this->view.view().empty() ||
+           this->view.view().position().era < this->latest_era;
+}
+
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> store_reader<Runtime, Source>::read_all()
 {
@@ -142,15 +151,15 @@
         co_return false;
     }
     this->full_read_due = false;
-    this->apply(result.update);
-    co_return true;
+    co_return this->apply(result.update);
 }
 
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> store_reader<Runtime, Source>::watch()
 {
     const instant started = to_instant(Runtime::clock::now());
-    const store_revision after = this->view.view().revision();
+    const store_position held = this->view.view().position();
+    const store_revision after = held.revision;
     const read_result result = co_await this->source.watch(
         after, store_reader_bounds::watch_wait,
         store_reader_bounds::watch_wait + store_reader_bounds::watch_margin);
@@ -165,7 +174,15 @@
     {
         co_return false;
     }
-    this->apply(result.update);
+    if (result.update.era > held.era)
+    {
+        // The revision of an earlier era means nothing in this one.
+        co_return true;
+    }
+    if (!this->apply(result.update))
+    {
+        co_return false;
+    }
     // Limits the call rate if the store answers early, with or without changes.
     const microseconds elapsed = to_instant(Runtime::clock::now()) - started;
     if (!result.update.changes.empty() ||
@@ -186,21 +203,51 @@
         boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
+// Applies an update of the store. Returns whether it was current.
 template <runtime Runtime, item_source Source>
-void store_reader<Runtime, Source>::apply(const item_update& update)
+bool store_reader<Runtime, Source>::apply(const item_update& update)
 {
-    const store_revision held = this->view.view().revision();
-    const bool applied =
+    const store_position held = this->view.view().position();
+    const update_result result =
         this->view.apply(update, to_instant(Runtime::clock::now()));
-    // Another host may have sent the same changes while the watch waited.
-    const bool overtaken = update.after > 0 && update.after <= held;
-    if (this->continuity.update(applied || overtaken))
+    // Another host may have sent later changes while the store was read.
+    const bool current =
+        result == update_result::applied || result == update_result::outdated;
+    if (current)
+    {
+        this->retry.reset();
+    }
+    if (this->continuity.update(current))
     {
-        log_event(applied ? log_level::info : log_level::warning,
-                  applied ? "read_applied" : "read_refused",
-                  {{"after", update.after},
+        log_event(current ? log_level::info : log_level::warning,
+                  current ? "read_applied" : "read_refused",
+                  {{"reason", to_string(result)},
+                   {"era", update.era.value},
+                   {"after", update.after},
                    {"revision", update.revision},
-                   {"held", held}});
+                   {"held_era", held.era.value},
+                   {"held_revision", held.revision}});
+    }
+    return current;
+}
+
+// Records the era of a response, and logs a new one.
+template <runtime Runtime, item_source Source>
+void store_reader<Runtime, Source>::record_era(const read_result& result)
+{
+    const store_position held = this->view.view().position();
+    const store_era known = std::max(this->latest_era, held.era);
+    if (!result.era || *result.era <= known)
+    {
+        return;
+    }
+    this->latest_era = *result.era;
+    if (!this->view.view().empty())
+    {
+        log_event(log_level::warning, "store_era_changed",
+                  {{"era", result.era->value},
+                   {"held_era", held.era.value},
+                   {"held_revision", held.revision}});
     }
 }
 
@@ -221,17 +268,15 @@
 template <runtime Runtime, item_source Source>
 void store_reader<Runtime, Source>::record_result(const read_result& result)
 {
+    this->record_era(result);
     const bool reached = result.end != read_end::unavailable;
-    if (reached)
-    {
-        this->retry.reset();
-    }
     if (this->store.update(reached))
     {
         log_event(reached ? log_level::info : log_level::warning,
                   reached ? "store_reached" : "store_lost",
                   {{"reason", result.reason},
-                   {"revision", this->view.view().revision()}});
+                   {"era", this->view.view().position().era.value},
+                   {"revision", this->view.view().position().revision}});
     }
 }
 
--- a/src/node/process/store_view.hpp
+++ b/src/node/process/store_view.hpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -24,25 +25,36 @@
     {
     }
 
-    /// Applies an update that was current at `as_of`, if that is known. Returns
-    /// false when the update does not continue the view or is older.
-    bool apply(const item_update& update, std::optional<instant> as_of)
+    /// Applies an update that was current at `as_of`, if that is known.
+    update_result apply(const item_update& update, std::optional<instant> as_of)
     {
-        const store_revision before = this->items.revision();
-        if (!this->items.apply(update))
+        const store_position before = this->items.position();
+        const bool first = this->items.empty();
+        const update_result result = this->items.apply(update);
+        if (result != update_result::applied)
         {
-            return false;
+            return result;
+        }
+        const bool restored =
+            !first && before.era != this->items.position().era;
+        if (restored)
+        {
+            ++this->restored;
         }
         if (as_of)
         {
             this->confirm(*as_of);
         }
-        if (this->items.revision() != before && this->advance_handler &&
-            !update.changes.empty())
+        if (restored && this->restore_handler)
+        {
+            this->restore_handler();
+        }
+        if (this->items.position() != before && this->advance_handler &&
+            (restored || !update.changes.empty()))
         {
             this->advance_handler(before);
         }
-        return true;
+        return result;
     }
 
     /// Records that the view was up to date at this time.
@@ -64,22 +76,42 @@
                                                         *this->confirmed_at);
     }
 
+    /// Returns when the view was last confirmed; empty when it never was.
+    [[nodiscard]] std::optional<instant> confirmed() const
+    {
+        return this->confirmed_at;
+    }
+
     [[nodiscard]] const item_cache& view() const
     {
         return this->items;
     }
 
-    /// Sets the function to call, with the previous revision, after the view
+    /// Number of times that the view followed a restored store.
+    [[nodiscard]] std::uint64_t restore_count() const
+    {
+        return this->restored;
+    }
+
+    /// Sets the function to call, with the previous position, after the view
     /// has changed.
-    void on_advance(std::function<void(store_revision)> handler)
+    void on_advance(std::function<void(store_position)> handler)
     {
         this->advance_handler = std::move(handler);
     }
 
+    /// Sets the function to call after the view has followed a restored store.
+    void on_restore(std::function<void()> handler)
+    {
+        this->restore_handler = std::move(handler);
+    }
+
 private:
     item_cache items;
     std::optional<instant> confirmed_at;
-    std::function<void(store_revision)> advance_handler;
+    std::function<void(store_position)> advance_handler;
+    std::function<void()> restore_handler;
+    std::uint64_t restored = 0;
 };
 
 } // namespace basilpath
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -4,6 +4,7 @@
 #include "node/process/cold_limit.hpp"
 #include "node/process/cold_speed.hpp"
 #include "node/process/demand_meter.hpp"
+#include "node/process/departed_replicas.hpp"
 #include "node/process/evacuated_domains.hpp"
 #include "node/process/limit_shares.hpp"
 #include "node/process/limited_sends.hpp"
@@ -13,13 +14,14 @@
 #include "node/process/replica_entry.hpp"
 #include "node/process/replica_list.hpp"
 #include "node/process/replica_share.hpp"
+#include "node/process/restored_items.hpp"
 #include "node/process/room_meter.hpp"
 #include "node/process/route_latencies.hpp"
 #include "node/process/traffic_meter.hpp"
 #include "node/request/target_call.hpp"
-#include "node/version/item_cache.hpp"
 #include "node/version/replica.hpp"
 #include "node/version/route_table.hpp"
+#include "node/version/store_position.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -59,20 +61,30 @@
     /// Starts the periodic check of connections and of replicas that are down.
     void start();
 
-    /// Adds or updates a replica, as of a revision of the store. Calls that
-    /// wait for a replica that begins to leave end as unsent.
-    void set_replica(const replica& one, store_revision as_of = 0);
+    /// Adds or updates a replica, as of a position in the store's history.
+    /// Calls that wait for a replica that begins to leave end as unsent.
+    void set_replica(const replica& one, store_position as_of = {});
 
     /// Takes a replica off the list. It remains for `removal_grace` in case it
     /// is listed again, and is used only when there is no other. If there is,
     /// calls that wait for it end as unsent.
     void drop_replica(const leaf_id& id, milliseconds removal_grace);
 
+    /// Returns what is known of a replica that is listed or was of late.
+    [[nodiscard]] std::optional<known_replica>
+    find_known(const leaf_id& id) const;
+
+    /// Forgets replicas that were removed long ago.
+    void expire_departed()
+    {
+        this->departed.expire(now());
+    }
+
     /// Sets whether nothing may be sent to the replicas of a failure domain, as
     /// of a revision of the store. Calls that wait for one of them end as
     /// unsent.
     void set_evacuation(const failure_domain& domain, bool in_force,
-                        store_revision as_of);
+                        store_position as_of);
 
     /// The failure domains to whose replicas nothing may be sent.
     [[nodiscard]] const evacuated_domains& evacuations() const
@@ -206,7 +218,7 @@
                                                         instant time);
     void set_warmup(const entry_pointer& one, milliseconds left);
     void update_warmup(const entry_pointer& known, const replica& listed,
-                       store_revision as_of);
+                       store_position as_of);
     void apply_all_limits();
     [[nodiscard]] demand_group group_of(const service_name& service) const;
     [[nodiscard]] const service_name&
@@ -226,6 +238,7 @@
     traffic_meter& traffic;
     std::shared_ptr<memory_budget> memory;
     replica_list<entry> replicas;
+    departed_replicas departed;
     evacuated_domains evacuated;
     route_latencies latencies;
     named_limits limits;
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -46,7 +46,7 @@
 }
 
 template <target_codec Codec>
-void target_pool<Codec>::set_replica(const replica& one, store_revision as_of)
+void target_pool<Codec>::set_replica(const replica& one, store_position as_of)
 {
     if (const entry_pointer known = this->replicas.find(one.id))
     {
@@ -77,7 +77,7 @@
         {},
         {},
         false,
-        0,
+        {},
         {},
         false,
         this->evacuated.contains(one.domain)});
@@ -133,10 +133,23 @@
         return;
     }
     this->replicas.remove(one);
+    this->departed.note(one->target, now());
     one->fail_unsent(one->waiting.take_all(), now());
     one->close_idle();
 }
 
+template <target_codec Codec>
+std::optional<known_replica>
+target_pool<Codec>::find_known(const leaf_id& id) const
+{
+    if (const entry_pointer listed = this->replicas.find(id))
+    {
+        return known_replica{listed->target, !listed->delisted};
+    }
+    const auto last = this->departed.find(id);
+    return last ? std::optional(known_replica{*last, false}) : std::nullopt;
+}
+
 template <target_codec Codec>
 void target_pool<Codec>::set_routes(
     const std::shared_ptr<const route_table>& routes)
@@ -389,7 +402,7 @@
         {
             if (result.reply.cold_left)
             {
-                one->assumed_cold_at = 0;
+                one->assumed_cold_at.reset();
                 this->set_warmup(one, *result.reply.cold_left);
             }
             this->limits.note_answer(one->target.id, result.reply.named_limit,
@@ -592,7 +605,7 @@
                              now());
     if (reply->cold_left)
     {
-        one->assumed_cold_at = 0;
+        one->assumed_cold_at.reset();
         this->set_warmup(one, *reply->cold_left);
     }
     this->apply_limit(one);
--- a/src/node/process/target_pool_evacuation.ipp
+++ b/src/node/process/target_pool_evacuation.ipp
@@ -13,7 +13,7 @@
 
 template <target_codec Codec>
 void target_pool<Codec>::set_evacuation(const failure_domain& domain,
-                                        bool in_force, store_revision as_of)
+                                        bool in_force, store_position as_of)
 {
     const instant time = now();
     const auto lasted = this->evacuated.set(domain, in_force, as_of, time);
@@ -57,7 +57,8 @@
     log_event(log_level::info,
               in_force ? "domain_evacuated" : "domain_restored",
               {{"domain", domain.value},
-               {"revision", as_of},
+               {"era", as_of.era.value},
+               {"revision", as_of.revision},
                {"replicas", affected.size()},
                {"calls_moved", moved},
                {"connections_closed", closed},
--- a/src/node/process/target_pool_limits.ipp
+++ b/src/node/process/target_pool_limits.ipp
@@ -116,15 +116,15 @@
 template <target_codec Codec>
 void target_pool<Codec>::update_warmup(const entry_pointer& known,
                                        const replica& listed,
-                                       store_revision as_of)
+                                       store_position as_of)
 {
-    const bool assumed = known->assumed_cold_at > 0;
-    const bool outdated = assumed && as_of <= known->assumed_cold_at;
+    const bool assumed = known->assumed_cold_at.has_value();
+    const bool outdated = assumed && as_of <= *known->assumed_cold_at;
     const bool repeated = !assumed && listed.warmup == milliseconds(0) &&
                           known->target.warmup == milliseconds(0);
     if (!outdated && !repeated)
     {
-        known->assumed_cold_at = 0;
+        known->assumed_cold_at.reset();
         this->set_warmup(known, listed.warmup);
     }
 }
--- a/src/node/version/item_cache.cpp
+++ b/src/node/version/item_cache.cpp
@@ -2,51 +2,73 @@
 
 #include "process/log.hpp"
 
-#include <algorithm>
+#include <array>
+#include <ranges>
 #include <set>
+#include <utility>
 
 namespace basilpath
 {
 
-bool item_cache::apply(const item_update& update)
+std::string_view to_string(update_result result)
 {
+    constexpr std::array<std::string_view, 4> names = {"applied", "outdated",
+                                                       "gap", "past_era"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
+update_result item_cache::apply(const item_update& update)
+{
+    const store_position offered = update.position();
+    if (offered.era < this->current.era)
+    {
+        return update_result::past_era;
+    }
     if (update.after == 0)
     {
-        if (update.revision < this->current)
+        if (offered < this->current)
         {
-            return false;
+            return update_result::outdated;
         }
         this->replace(update);
-        return true;
+        return update_result::applied;
+    }
+    if (offered.era != this->current.era ||
+        update.after > this->current.revision)
+    {
+        return update_result::gap;
     }
-    if (update.after > this->current || update.revision < this->current)
+    if (offered < this->current)
     {
-        return false;
+        return update_result::outdated;
     }
     for (const item_change& one : update.changes)
     {
-        this->change(one);
+        this->change(
+            {one.key, one.value, one.revision, this->current.era, false});
     }
-    this->current = update.revision;
-    return true;
+    this->current = offered;
+    return update_result::applied;
 }
 
-item_update item_cache::since(store_revision after) const
+item_update item_cache::since(store_position after) const
 {
     item_update update;
-    const bool full = after == 0 || after < this->removals_from;
-    update.after = full ? 0 : after;
-    update.revision = this->current;
+    const bool full = after.revision == 0 || after.era != this->current.era ||
+                      after.revision < this->removals_from;
+    update.after = full ? 0 : after.revision;
+    update.revision = this->current.revision;
+    update.era = this->current.era;
     for (const auto& [key, item] : this->items)
     {
-        if (full || item.revision > after)
+        if (full || item.revision > after.revision)
         {
             update.changes.push_back({key, item.value, item.revision});
         }
     }
     if (!full)
     {
-        for (auto one = this->removals.upper_bound(after);
+        for (auto one = this->removals.upper_bound(after.revision);
              one != this->removals.end(); ++one)
         {
             update.changes.push_back({one->second, std::nullopt, one->first});
@@ -58,6 +80,16 @@
 // Removes the items that a full update lacks, then applies its changes.
 void item_cache::replace(const item_update& update)
 {
+    const bool restored = !this->empty() && update.era != this->current.era;
+    if (restored)
+    {
+        // Revisions of different eras cannot be compared: those of the new era
+        // replace all.
+        for (cached_item& one : this->items | std::views::values)
+        {
+            one.revision = 0;
+        }
+    }
     std::set<std::string> updated;
     for (const item_change& one : update.changes)
     {
@@ -73,19 +105,30 @@
     }
     for (const std::string& key : removed)
     {
-        this->change({key, std::nullopt, update.revision});
+        this->change(
+            {key, std::nullopt, update.revision, update.era, restored});
     }
     for (const item_change& one : update.changes)
     {
-        this->change(one);
+        this->change({one.key, one.value, one.revision, update.era, restored});
+    }
+    if (restored)
+    {
+        log_event(log_level::warning, "store_restored",
+                  {{"era", update.era.value},
+                   {"revision", update.revision},
+                   {"held_era", this->current.era.value},
+                   {"held_revision", this->current.revision},
+                   {"items", updated.size()},
+                   {"missing", removed.size()}});
     }
     this->removals.clear();
     this->removals_from = update.revision;
-    this->current = update.revision;
+    this->current = update.position();
 }
 
 // Applies one change unless the cache holds a later one of the same item.
-void item_cache::change(const item_change& one)
+void item_cache::change(item_change one)
 {
     const auto found = this->items.find(one.key);
     if (!one.value)
--- a/src/node/version/item_cache.hpp
+++ b/src/node/version/item_cache.hpp
@@ -1,37 +1,67 @@
 /// A local cache of the items in the platform's store.
 #pragma once
 
+#include "node/version/store_position.hpp"
+
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace basilpath
 {
 
-/// Revision number of the store; larger is newer.
-using store_revision = std::uint64_t;
-
 /// A write of an item, or its removal when it has no value.
 struct item_change
 {
     std::string key;
     std::optional<std::string> value;
     store_revision revision = 0;
+
+    /// The era of the revision; that of the update while in one.
+    store_era era{};
+
+    /// Whether the change follows from the store's return from a copy: its
+    /// value may be older than the one before.
+    bool restored = false;
+
+    [[nodiscard]] store_position position() const
+    {
+        return {this->era, this->revision};
+    }
 };
 
-/// Changes that bring a cache up to a revision.
+/// Changes that bring a cache up to a position in the store's history.
 struct item_update
 {
-    /// The cache must be at this revision or later; zero replaces all items.
+    /// The cache must be at this revision of the era or later; zero replaces
+    /// all items.
     store_revision after = 0;
     store_revision revision = 0;
     std::vector<item_change> changes;
+    store_era era{};
+
+    [[nodiscard]] store_position position() const
+    {
+        return {this->era, this->revision};
+    }
+};
+
+/// How a cache took an update.
+enum class update_result : std::uint8_t
+{
+    applied,
+    outdated, ///< the cache is at a later position of the same era
+    gap,      ///< the update does not continue the cache's position
+    past_era  ///< the store has come back from a copy since
 };
 
-/// A cache of the store's items whose revision never decreases. Updates come
+[[nodiscard]] std::string_view to_string(update_result result);
+
+/// A cache of the store's items whose position never goes back. Updates come
 /// from the store or from the cache of another host.
 class item_cache
 {
@@ -41,19 +71,25 @@
 
     explicit item_cache(listener on_change) : on_change(std::move(on_change)) {}
 
-    /// Applies an update. Returns false when it is older than the cache or
-    /// leaves a gap after the cache's revision.
-    bool apply(const item_update& update);
+    /// Applies an update that continues the cache. The first one of a new era
+    /// must contain all items.
+    update_result apply(const item_update& update);
 
-    /// Returns the changes since a revision, or all items when the removals
-    /// since then are no longer kept.
-    [[nodiscard]] item_update since(store_revision after) const;
+    /// Returns the changes since a position, or all items when the position is
+    /// of another era or the removals since then are no longer kept.
+    [[nodiscard]] item_update since(store_position after) const;
 
-    [[nodiscard]] store_revision revision() const
+    [[nodiscard]] store_position position() const
     {
         return this->current;
     }
 
+    /// Returns whether the cache has had no update yet.
+    [[nodiscard]] bool empty() const
+    {
+        return this->current.revision == 0;
+    }
+
     /// Most removals that are kept, so that short gaps need no full update.
     static constexpr std::size_t removal_limit = 2'000;
 
@@ -66,7 +102,7 @@
     };
 
     void replace(const item_update& update);
-    void change(const item_change& one);
+    void change(item_change one);
 
     listener on_change;
     std::map<std::string, cached_item> items;
@@ -75,7 +111,7 @@
     /// All removals after this revision are kept.
     store_revision removals_from = 0;
 
-    store_revision current = 0;
+    store_position current;
 };
 
 } // namespace basilpath
--- a/src/node/version/replica.hpp
+++ b/src/node/version/replica.hpp
@@ -4,6 +4,7 @@
 #include "version/ids.hpp"
 
 #include <cstdint>
+#include <tuple>
 
 namespace basilpath
 {
@@ -29,7 +30,18 @@
     /// Unix time of its start in milliseconds; zero when unknown.
     std::int64_t started = 0;
 
+    /// Counts its registrations since its start; zero when unknown.
+    std::int64_t sequence = 0;
+
     bool operator==(const replica&) const = default;
+
+    /// Returns whether the replica registered itself in this way before it did
+    /// so as in `other`. A process that leaves does not come back.
+    [[nodiscard]] bool registered_before(const replica& other) const
+    {
+        return std::tie(this->started, this->sequence, this->leaving) <
+               std::tie(other.started, other.sequence, other.leaving);
+    }
 };
 
 } // namespace basilpath
--- a/test/cold_replica_test.cpp
+++ b/test/cold_replica_test.cpp
@@ -268,17 +268,17 @@
 {
     cold_fixture node;
     node.pool.set_replica(cold_replica(node.server, 0ms));
-    node.pool.set_evacuation(failure_domain("b"), true, 5);
+    node.pool.set_evacuation(failure_domain("b"), true, at_revision(5));
     CHECK(node.pool.cold_replica_count() == 0);
-    node.pool.set_evacuation(failure_domain("b"), false, 6);
+    node.pool.set_evacuation(failure_domain("b"), false, at_revision(6));
     CHECK(node.pool.cold_replica_count() == 1);
     CHECK(node.send_many(40) <= 17);
 
     // A full read brings entries that were written before the end.
-    node.pool.set_replica(cold_replica(node.server, 500ms), 4);
-    node.pool.set_replica(cold_replica(node.server, 0ms), 5);
+    node.pool.set_replica(cold_replica(node.server, 500ms), at_revision(4));
+    node.pool.set_replica(cold_replica(node.server, 0ms), at_revision(5));
     CHECK(node.pool.cold_replica_count() == 1);
-    node.pool.set_replica(cold_replica(node.server, 0ms), 7);
+    node.pool.set_replica(cold_replica(node.server, 0ms), at_revision(7));
     CHECK(node.pool.cold_replica_count() == 0);
 }
 
--- a/test/evacuation_test.cpp
+++ b/test/evacuation_test.cpp
@@ -64,7 +64,7 @@
                                 std::get_if<domain_evacuation>(&item))
                         {
                             this->domains.set(one->domain, one->in_force,
-                                              change.revision, instant{});
+                                              change.position(), instant{});
                         }
                     }};
     evacuated_domains domains;
@@ -75,19 +75,23 @@
 TEST_CASE("an older view neither brings an evacuation back nor ends one")
 {
     evacuated_view host;
-    REQUIRE(host.view.apply({0, 10, {{key_a, "", 9}}}, {}));
+    REQUIRE(host.view.apply({0, 10, {{key_a, "", 9}}}, {}) ==
+            update_result::applied);
     CHECK(host.domains.contains(failure_domain("a")));
 
     // A full read that began before the evacuation.
-    CHECK_FALSE(host.view.apply({0, 8, {}}, {}));
+    CHECK(host.view.apply({0, 8, {}}, {}) == update_result::outdated);
     CHECK(host.domains.contains(failure_domain("a")));
 
-    REQUIRE(host.view.apply({10, 12, {{key_a, std::nullopt, 12}}}, {}));
+    REQUIRE(host.view.apply({10, 12, {{key_a, std::nullopt, 12}}}, {}) ==
+            update_result::applied);
     CHECK(host.domains.count() == 0);
-    CHECK(host.domains.revision() == 12);
+    CHECK(host.domains.position().revision == 12);
     // The other side of a cut still holds it.
-    CHECK_FALSE(host.view.apply({0, 11, {{key_a, "", 9}}}, {}));
-    CHECK_FALSE(host.view.apply({9, 11, {{key_a, "", 9}}}, {}));
+    CHECK(host.view.apply({0, 11, {{key_a, "", 9}}}, {}) ==
+          update_result::outdated);
+    CHECK(host.view.apply({9, 11, {{key_a, "", 9}}}, {}) ==
+          update_result::outdated);
     CHECK(host.domains.count() == 0);
 }
 
@@ -95,8 +99,10 @@
 {
     evacuated_view host;
     const std::string key_b = "op/evacuate/b";
-    REQUIRE(host.view.apply({0, 10, {{key_a, "", 9}}}, {}));
-    REQUIRE(host.view.apply({0, 20, {{key_b, "", 15}}}, {}));
+    REQUIRE(host.view.apply({0, 10, {{key_a, "", 9}}}, {}) ==
+            update_result::applied);
+    REQUIRE(host.view.apply({0, 20, {{key_b, "", 15}}}, {}) ==
+            update_result::applied);
     CHECK_FALSE(host.domains.contains(failure_domain("a")));
     CHECK(host.domains.contains(failure_domain("b")));
 }
@@ -105,11 +111,15 @@
 {
     evacuated_domains domains;
     const failure_domain one("a");
-    CHECK(domains.set(one, true, 5, instant{1s}) == milliseconds(0));
-    CHECK_FALSE(domains.set(one, true, 6, instant{2s}).has_value());
-    CHECK(domains.revision() == 5);
-    CHECK(domains.set(one, false, 7, instant{4s}) == milliseconds(3'000));
-    CHECK_FALSE(domains.set(one, false, 8, instant{5s}).has_value());
+    CHECK(domains.set(one, true, at_revision(5), instant{1s}) ==
+          milliseconds(0));
+    CHECK_FALSE(
+        domains.set(one, true, at_revision(6), instant{2s}).has_value());
+    CHECK(domains.position().revision == 5);
+    CHECK(domains.set(one, false, at_revision(7), instant{4s}) ==
+          milliseconds(3'000));
+    CHECK_FALSE(
+        domains.set(one, false, at_revision(8), instant{5s}).has_value());
 }
 
 TEST_CASE("calls that wait for an evacuated replica return, and no further one "
@@ -125,7 +135,7 @@
     node.run([&node] { return node.server.reads.size() >= 4; });
     REQUIRE(node.server.reads.size() == 4);
 
-    node.pool.set_evacuation(evacuated, true, 5);
+    node.pool.set_evacuation(evacuated, true, at_revision(5));
     node.await_results(1);
     REQUIRE(node.results.size() == 1);
     CHECK(node.results[0].end == call_end::unsent);
@@ -150,7 +160,7 @@
     node.start("late");
     node.run([&node] { return !node.server.reads.empty(); });
     // The answer may have arrived with the read; then the connection is idle.
-    node.pool.set_evacuation(evacuated, true, 5);
+    node.pool.set_evacuation(evacuated, true, at_revision(5));
     node.server.read_on = true;
     node.await_results(1);
     REQUIRE(node.results.size() == 1);
@@ -164,7 +174,7 @@
 {
     pool_fixture node([](const std::string&, std::size_t)
                       { return raw_action{}; });
-    node.pool.set_evacuation(failure_domain("b"), true, 5);
+    node.pool.set_evacuation(failure_domain("b"), true, at_revision(5));
     for (int i = 0; i < 5; ++i)
     {
         node.start("call-" + std::to_string(i));
@@ -191,7 +201,7 @@
     node.await_results(1);
     REQUIRE(node.server.connections == 1);
 
-    node.pool.set_evacuation(evacuated, true, 5);
+    node.pool.set_evacuation(evacuated, true, at_revision(5));
     node.run([&node] { return node.server.ended == 1; });
     CHECK(node.server.ended == 1);
 
@@ -209,7 +219,7 @@
         CHECK_FALSE(is_eligible(one));
     }
 
-    node.pool.set_evacuation(evacuated, false, 6);
+    node.pool.set_evacuation(evacuated, false, at_revision(6));
     node.start("two");
     node.await_results(2);
     REQUIRE(node.results.size() == 2);
@@ -230,12 +240,12 @@
         node.start("broken-" + std::to_string(i));
     }
     node.await_results(4);
-    node.pool.set_evacuation(evacuated, true, 5);
+    node.pool.set_evacuation(evacuated, true, at_revision(5));
     const std::size_t before = node.server.reads.size();
     node.context.run_for(800ms);
     CHECK(node.server.reads.size() == before);
 
-    node.pool.set_evacuation(evacuated, false, 6);
+    node.pool.set_evacuation(evacuated, false, at_revision(6));
     node.run([&node, before] { return node.server.reads.size() > before; });
     CHECK(node.server.reads.size() > before);
 }
@@ -244,7 +254,7 @@
 {
     pool_fixture node([](const std::string&, std::size_t)
                       { return raw_action{answer("body")}; });
-    node.pool.set_evacuation(failure_domain("b"), true, 5);
+    node.pool.set_evacuation(failure_domain("b"), true, at_revision(5));
     replica one;
     one.id = leaf_id("i-1");
     one.service = service_name("s");
@@ -268,7 +278,7 @@
         document_number(2), std::vector<route>{query},
         std::map<service_name, service_rule>{}, caller_limits{}));
     CHECK(node.pool.shard_domains() == std::set{evacuated});
-    node.pool.set_evacuation(evacuated, true, 5);
+    node.pool.set_evacuation(evacuated, true, at_revision(5));
     CHECK(node.pool.shard_domains().empty());
 }
 
@@ -337,7 +347,7 @@
     const std::set<http_address> serving{http_address("a1"), http_address("b1"),
                                          http_address("c1")};
     evacuated_domains domains;
-    domains.set(failure_domain("b"), true, 5, instant{});
+    domains.set(failure_domain("b"), true, at_revision(5), instant{});
     const auto chosen =
         choose_gathering_hosts(live, serving, failure_domain("a"), domains);
     REQUIRE(chosen.delegates.size() == 1);
--- a/test/node_member_list_test.cpp
+++ b/test/node_member_list_test.cpp
@@ -306,7 +306,7 @@
     sent.kind = datagram_kind::probe;
     sent.from = describe("10.0.0.1:7380", 77);
     sent.from.ready = true;
-    sent.revision = 41;
+    sent.position.revision = 41;
     sent.age = 250ms;
     sent.gossip = {describe("10.0.0.2:7380")};
     sent.suspected_crashes = {{fingerprint(5), leaf_id("i-1"), at(-40ms)}};
@@ -318,7 +318,7 @@
     CHECK(read->from.address == sent.from.address);
     CHECK(read->from.start == sent.from.start);
     CHECK(read->from.ready);
-    CHECK(read->revision == 41);
+    CHECK(read->position.revision == 41);
     CHECK(read->age == 250ms);
     CHECK(read->gossip.size() == 1);
     REQUIRE(read->suspected_crashes.size() == 1);
@@ -347,15 +347,20 @@
 TEST_CASE("a view never returns to an older revision")
 {
     recorded_view recorded;
-    CHECK(recorded.view.apply({0, 10, {{"a", "1", 5}, {"b", "1", 6}}}));
-    CHECK(recorded.view.apply({10, 12, {{"a", "2", 12}}}));
-    CHECK_FALSE(recorded.view.apply({0, 9, {{"a", "0", 4}}}));
-    CHECK_FALSE(recorded.view.apply({13, 14, {{"a", "3", 14}}}));
+    CHECK(recorded.view.apply({0, 10, {{"a", "1", 5}, {"b", "1", 6}}}) ==
+          update_result::applied);
+    CHECK(recorded.view.apply({10, 12, {{"a", "2", 12}}}) ==
+          update_result::applied);
+    CHECK(recorded.view.apply({0, 9, {{"a", "0", 4}}}) ==
+          update_result::outdated);
+    CHECK(recorded.view.apply({13, 14, {{"a", "3", 14}}}) ==
+          update_result::gap);
     // Repeated and older changes do not call the listener.
     recorded.changes.clear();
-    CHECK(recorded.view.apply({10, 12, {{"a", "2", 12}, {"a", "1", 5}}}));
+    CHECK(recorded.view.apply({10, 12, {{"a", "2", 12}, {"a", "1", 5}}}) ==
+          update_result::applied);
     CHECK(recorded.changes.empty());
-    CHECK(recorded.view.revision() == 12);
+    CHECK(recorded.view.position().revision == 12);
 }
 
 TEST_CASE("a full update removes the items that it does not contain")
@@ -372,17 +377,17 @@
     recorded_view first;
     recorded_view second;
     first.view.apply({0, 10, {{"a", "1", 5}, {"b", "1", 6}}});
-    second.view.apply(first.view.since(0));
+    second.view.apply(first.view.since({{}, 0}));
     first.view.apply({10, 12, {{"a", std::nullopt, 11}, {"c", "1", 12}}});
-    const item_update update = first.view.since(10);
+    const item_update update = first.view.since({{}, 10});
     CHECK(update.after == 10);
     CHECK(update.changes.size() == 2);
     second.changes.clear();
-    CHECK(second.view.apply(update));
-    CHECK(second.view.revision() == 12);
+    CHECK(second.view.apply(update) == update_result::applied);
+    CHECK(second.view.position().revision == 12);
     CHECK(second.changes == std::vector<std::string>{"c=1", "a=gone"});
     // Changes since before the oldest recorded removal need a full update.
-    CHECK(first.view.since(3).after == 0);
+    CHECK(first.view.since({{}, 3}).after == 0);
 }
 
 TEST_CASE("an item that is written again after its removal is kept")
@@ -390,9 +395,9 @@
     recorded_view first;
     recorded_view second;
     first.view.apply({0, 10, {{"a", "1", 5}}});
-    second.view.apply(first.view.since(0));
+    second.view.apply(first.view.since({{}, 0}));
     first.view.apply({10, 12, {{"a", std::nullopt, 11}, {"a", "2", 12}}});
-    second.view.apply(first.view.since(10));
+    second.view.apply(first.view.since({{}, 10}));
     CHECK(second.changes.back() == "a=2");
 }
 
--- a/test/node_reader_test.cpp
+++ b/test/node_reader_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <optional>
+#include <utility>
 
 namespace
 {
@@ -24,6 +26,13 @@
         co_return this->answer(0);
     }
 
+    /// Comes back from a copy.
+    void restore(store_revision at)
+    {
+        this->era = store_era(this->era.value + 1);
+        this->revision = at;
+    }
+
     boost::asio::awaitable<read_result> watch(store_revision after,
                                               milliseconds wait, milliseconds)
     {
@@ -32,9 +41,9 @@
         timer.expires_after(this->answers_early ? 1ms : wait);
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
-        if (std::exchange(this->compacted, false))
+        if (std::exchange(this->compacted, false) || after > this->revision)
         {
-            co_return read_result{read_end::compacted, {}, ""};
+            co_return read_result{read_end::compacted, {}, "", this->era};
         }
         co_return this->answer(after);
     }
@@ -43,12 +52,14 @@
     {
         return this->down ? read_result{read_end::unavailable, {}, "down"}
                           : read_result{read_end::done,
-                                        {after, this->revision, {}},
-                                        ""};
+                                        {after, this->revision, {}, this->era},
+                                        "",
+                                        this->era};
     }
 
     virtual_runtime& run;
     store_revision revision = 5;
+    store_era era{};
     bool down = false;
     bool answers_early = false;
     bool compacted = false;
@@ -124,7 +135,7 @@
     CHECK(host.source.whole_reads <= 50);
     host.source.down = false;
     host.run.run_until(21s);
-    CHECK(host.view.view().revision() == 5);
+    CHECK(host.view.view().position().revision == 5);
 }
 
 TEST_CASE("a compacted history leads to one full read")
@@ -135,7 +146,51 @@
     host.source.revision = 9;
     host.run.run_until(10s);
     CHECK(host.source.whole_reads == 2);
-    CHECK(host.view.view().revision() == 9);
+    CHECK(host.view.view().position().revision == 9);
+}
+
+// Guards against a host that reads the store in full again and again, and
+// follows nothing, after the store came back from a copy.
+TEST_CASE("a restored store leads to one full read")
+{
+    // Its revision is lower than that of the view, the same or larger.
+    const store_revision at = GENERATE(2, 5, 8);
+    reader_fixture host(0);
+    host.source.era = store_era(1);
+    host.run.run_until(1s);
+    host.source.restore(at);
+    host.run.run_until(10s);
+    CHECK(host.source.whole_reads == 2);
+    CHECK(host.source.watches <= 6);
+    CHECK(host.view.view().position() == store_position{store_era(2), at});
+    host.source.revision = at + 1;
+    host.run.run_until(14s);
+    CHECK(host.view.view().position().revision == at + 1);
+    CHECK(host.source.whole_reads == 2);
+}
+
+TEST_CASE("a host that another one has told of the restored store watches it")
+{
+    reader_fixture host(0);
+    host.source.era = store_era(1);
+    host.run.run_until(1s);
+    host.source.restore(2);
+    host.view.apply({0, 2, {}, store_era(2)}, std::nullopt);
+    host.run.run_until(10s);
+    CHECK(host.source.whole_reads == 1);
+}
+
+TEST_CASE("a store that answers of an earlier era is called rarely")
+{
+    reader_fixture host(0);
+    host.source.answers_early = true;
+    host.source.era = store_era(1);
+    host.run.run_until(1s);
+    host.view.apply({0, 2, {}, store_era(2)}, std::nullopt);
+    const int before = host.source.watches + host.source.whole_reads;
+    host.run.run_until(21s);
+    CHECK(host.source.watches + host.source.whole_reads - before <= 50);
+    CHECK(host.view.view().position() == store_position{store_era(2), 2});
 }
 
 TEST_CASE("a host that is not a reader reads only when its view is too old")
--- a/test/peer_exchange_test.cpp
+++ b/test/peer_exchange_test.cpp
@@ -100,4 +100,34 @@
     CHECK_FALSE(second.crashes.quarantined(request, crashed + 62s));
 }
 
+// Guards against hosts that keep the view of before a restore, as its revision
+// is larger, and pass it on.
+TEST_CASE("hosts follow the host that has seen the restored store")
+{
+    boost::asio::io_context context;
+    const peer_address seed = free_address();
+    exchanging_host first(context, seed, {});
+    exchanging_host second(context, free_address(), {seed});
+    const item_update before{0, 300, {{"a", "old", 290}}, store_era(1)};
+    const item_update restored{0, 120, {{"a", "new", 110}}, store_era(2)};
+    first.view.apply(before, now());
+    second.view.apply(before, now());
+    context.run_for(300ms);
+    // Either one reads the store first.
+    const bool first_reads = GENERATE(true, false);
+    (first_reads ? first : second).view.apply(restored, now());
+    const exchanging_host& other = first_reads ? second : first;
+    for (int i = 0;
+         i < 5000 && other.view.view().position() != restored.position(); ++i)
+    {
+        context.run_for(2ms);
+    }
+    CHECK(other.view.view().position() == restored.position());
+    context.run_for(300ms);
+    CHECK(first.view.view().position() == restored.position());
+    CHECK(second.view.view().position() == restored.position());
+    CHECK(first.view.view().since({}).changes[0].value == "new");
+    CHECK(second.view.view().since({}).changes[0].value == "new");
+}
+
 } // namespace
--- a/test/store_source_test.cpp
+++ b/test/store_source_test.cpp
@@ -88,9 +88,17 @@
     asio::awaitable<http_response> answer(std::shared_ptr<http_request> request)
     {
         ++this->calls;
+        http_response response(boost::beast::http::status::ok, 11);
+        if (!this->eras.empty())
+        {
+            response.set("Store-Era", this->eras.front());
+            if (this->eras.size() > 1)
+            {
+                this->eras.erase(this->eras.begin());
+            }
+        }
         if (request->target().starts_with("/kv-watch"))
         {
-            http_response response(boost::beast::http::status::ok, 11);
             response.body() = this->watch_answer;
             co_return response;
         }
@@ -113,7 +121,6 @@
                      {"value", to_base64(this->value)}});
             }
         }
-        http_response response(boost::beast::http::status::ok, 11);
         response.body() = json{
             {"items", items},
             {"hasMore", matching.size() > items.size()},
@@ -164,6 +171,9 @@
     std::string value = "v";
     std::string watch_answer;
 
+    /// The eras that the next answers name; the last one stays.
+    std::vector<std::string> eras;
+
     /// Key of the item that has no usable revision.
     std::string spoiled;
 
@@ -283,4 +293,56 @@
     CHECK(result.update.changes[2].value == "");
 }
 
+TEST_CASE("answers of the store name its era, or are of the first one")
+{
+    paged_store store({"op/config"}, 10);
+    CHECK(store.read().era == store_era(0));
+    store.eras = {"7"};
+    const read_result read = store.read();
+    CHECK(read.era == store_era(7));
+    CHECK(read.update.position() == store_position{store_era(7), 7});
+    store.watch_answer = R"({"events": [], "currentRev": 9})";
+    const read_result watched = store.watch();
+    CHECK(watched.update.position() == store_position{store_era(7), 9});
+}
+
+TEST_CASE("an era that cannot be used counts as the one before")
+{
+    const std::string odd =
+        GENERATE(as<std::string>{}, "", "x", "-1", "1.5", "8 9",
+                 "99999999999999999999999", "18446744073709551616");
+    INFO(odd);
+    paged_store store({"op/config", "servers/a"}, 1);
+    // One for each page of a read.
+    store.eras = {"7", "7", odd};
+    platform::store_source source(store.context.get_executor(),
+                                  store.address());
+    CHECK(store.run(source.read_all(2s)).era == store_era(7));
+    const read_result read = store.run(source.read_all(2s));
+    CHECK(read.end == read_end::done);
+    CHECK(read.update.era == store_era(7));
+}
+
+TEST_CASE("an earlier era is returned as it is")
+{
+    paged_store store({"op/config"}, 10);
+    store.eras = {"7", "7", "6"};
+    platform::store_source source(store.context.get_executor(),
+                                  store.address());
+    static_cast<void>(store.run(source.read_all(2s)));
+    CHECK(store.run(source.read_all(2s)).update.era == store_era(6));
+}
+
+// Guards against a view that is put together from two eras.
+TEST_CASE("a read during which the store is restored fails")
+{
+    paged_store store({"op/config", "servers/a", "servers/b"}, 1);
+    store.eras = GENERATE(std::vector<std::string>{"1", "2"},
+                          std::vector<std::string>{"1", "1", "2"});
+    platform::store_source source(store.context.get_executor(),
+                                  store.address());
+    CHECK(store.run(source.read_all(2s)).end == read_end::unavailable);
+    CHECK(store.run(source.read_all(2s)).end == read_end::done);
+}
+
 } // namespace
--- a/test/target_pool_fixture.hpp
+++ b/test/target_pool_fixture.hpp
@@ -17,6 +17,12 @@
 
 using namespace std::chrono_literals;
 
+/// A position in the only era of a store.
+inline store_position at_revision(store_revision revision)
+{
+    return {store_era(1), revision};
+}
+
 /// A pool with one replica, which is a scripted server on loopback.
 struct pool_fixture
 {
