--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -164,7 +164,9 @@
         after, store_reader_bounds::watch_wait,
         store_reader_bounds::watch_wait + store_reader_bounds::watch_margin);
     this->record_result(result);
-    if (result.end == read_end::compacted)
+    // Another host may have sent the view of a restored store meanwhile.
+    const bool same_era = this->view.view().position().era == held.era;
+    if (result.end == read_end::compacted && same_era)
     {
         this->full_read_due = true;
         log_event(log_level::info, "full_read_due",
