--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -77,7 +77,8 @@
     void take_change(const item_change& change);
     void defer_change(const item_change& change, milliseconds wait);
     void apply_deferred();
-    void apply_item(const item_change& change, const decoded_item& item);
+    void apply_item(const item_change& change, const decoded_item& item,
+                    milliseconds removal_grace);
     void apply_routes(const std::shared_ptr<const route_table>& table);
     boost::asio::awaitable<void> run_periodic_tasks();
     void update_shares();
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -430,7 +430,7 @@
             return;
         }
     }
-    this->apply_item(change, item);
+    this->apply_item(change, item, node_bounds::removal_grace);
 }
 
 template <class Adapter>
@@ -460,17 +460,20 @@
                   {{"key", change.key},
                    {"removed", !change.value},
                    {"era", change.era.value}});
-        this->apply_item(change, Adapter::decode(change));
+        // A removal has waited for its grace already.
+        this->apply_item(change, Adapter::decode(change), milliseconds(0));
     }
 }
 
-// Applies one change of the store.
+// Applies one change of the store. A replica that it removes is kept for
+// `removal_grace`.
 template <class Adapter>
 void node<Adapter>::apply_item(const item_change& change,
-                               const decoded_item& item)
+                               const decoded_item& item,
+                               milliseconds removal_grace)
 {
     std::visit(
-        [this, &change](const auto& one)
+        [this, &change, removal_grace](const auto& one)
         {
             using type = std::decay_t<decltype(one)>;
             if constexpr (std::is_same_v<type, unusable_item>)
@@ -484,7 +487,7 @@
             }
             else if constexpr (std::is_same_v<type, replica_removed>)
             {
-                this->targets.drop_replica(one.id, node_bounds::removal_grace);
+                this->targets.drop_replica(one.id, removal_grace);
             }
             else if constexpr (std::is_same_v<type, domain_evacuation>)
             {
