Read the store in full once, not again and again, after an odd era

Callers would have seen: hosts that call the store without a pause and no longer watch it, after one answer named an era that the store is not in. Cause: the latest era that was named stayed, so each full read was followed by the next one. A store without eras that goes back was called some ten times a second: an outdated answer reset the back-off. Change: a full read decides the era; only an applied one resets the back-off. Evidence: by reading, in an independent review; tests in virtual time.

--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -151,7 +151,11 @@
         co_return false;
     }
     this->full_read_due = false;
-    co_return this->apply(result.update);
+    const bool current = this->apply(result.update);
+    const bool era_confirmed = result.update.era >= this->latest_era;
+    // A response named a later era, but the store is not in it.
+    this->latest_era = std::min(this->latest_era, result.update.era);
+    co_return current&& era_confirmed;
 }
 
 template <runtime Runtime, item_source Source>
@@ -215,7 +219,7 @@
     // Another host may have sent later changes while the store was read.
     const bool current =
         result == update_result::applied || result == update_result::outdated;
-    if (current)
+    if (result == update_result::applied)
     {
         this->retry.reset();
     }
--- a/test/node_reader_test.cpp
+++ b/test/node_reader_test.cpp
@@ -41,6 +41,11 @@
         timer.expires_after(this->answers_early ? 1ms : wait);
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (const store_era odd = std::exchange(this->odd_era, store_era{});
+            odd != store_era{})
+        {
+            co_return read_result{read_end::unavailable, {}, "odd", odd};
+        }
         if (std::exchange(this->compacted, false) || after > this->revision)
         {
             co_return read_result{read_end::compacted, {}, "", this->era};
@@ -60,6 +65,9 @@
     virtual_runtime& run;
     store_revision revision = 5;
     store_era era{};
+
+    /// The era of the next watch's answer alone, if it is set.
+    store_era odd_era{};
     bool down = false;
     bool answers_early = false;
     bool compacted = false;
@@ -180,6 +188,45 @@
     CHECK(host.source.whole_reads == 1);
 }
 
+// Guards against full reads without a pause after an answer with an odd era.
+TEST_CASE("a later era that the store does not confirm leads to one full read")
+{
+    reader_fixture host(0);
+    host.source.era = store_era(1);
+    host.run.run_until(1s);
+    host.source.era = store_era(7);
+    host.run.run_until(2'500ms);
+    const int before = host.source.whole_reads;
+    host.source.era = store_era(1);
+    host.run.run_until(20s);
+    CHECK(host.source.whole_reads - before <= 30);
+    CHECK(host.source.watches <= 30);
+}
+
+// The same while the view is not of that era.
+TEST_CASE("an odd era in one answer does not stop the watches")
+{
+    reader_fixture host(0);
+    host.source.era = store_era(1);
+    host.run.run_until(1s);
+    host.source.odd_era = store_era(7);
+    host.run.run_until(20s);
+    CHECK(host.source.whole_reads == 2);
+    CHECK(host.source.watches >= 8);
+    CHECK(host.view.view().position() == store_position{store_era(1), 5});
+}
+
+TEST_CASE("a store without eras that goes back is called rarely")
+{
+    reader_fixture host(0);
+    host.run.run_until(1s);
+    host.source.revision = 2;
+    host.source.answers_early = true;
+    const int before = host.source.watches + host.source.whole_reads;
+    host.run.run_until(21s);
+    CHECK(host.source.watches + host.source.whole_reads - before <= 120);
+}
+
 TEST_CASE("a store that answers of an earlier era is called rarely")
 {
     reader_fixture host(0);
