Pass on removals of items that are not held

Callers would have seen: a host that uses a replica which is gone, or an evacuation that has ended, until its next full view. The one without it recorded no removal, and gave the other one an update without it. And of several removals at one revision only one was kept.

--- a/src/node/version/item_cache.cpp
+++ b/src/node/version/item_cache.cpp
@@ -68,7 +68,7 @@
     }
     if (!full)
     {
-        for (auto one = this->removals.upper_bound(after.revision);
+        for (auto one = this->removals.lower_bound({after.revision + 1, {}});
              one != this->removals.end(); ++one)
         {
             update.changes.push_back({one->second, std::nullopt, one->first});
@@ -133,18 +133,24 @@
     const auto found = this->items.find(one.key);
     if (!one.value)
     {
-        if (found == this->items.end() || found->second.revision > one.revision)
+        const bool held = found != this->items.end();
+        if (held && found->second.revision > one.revision)
         {
             return;
         }
-        this->items.erase(found);
+        // Another host may hold the item though this one does not: the pages of
+        // a full read differ.
         this->removals.emplace(one.revision, one.key);
         if (this->removals.size() > removal_limit)
         {
             this->removals_from = this->removals.begin()->first;
             this->removals.erase(this->removals.begin());
         }
-        this->on_change(one);
+        if (held)
+        {
+            this->items.erase(found);
+            this->on_change(one);
+        }
         return;
     }
     if (found != this->items.end())
--- a/src/node/version/item_cache.hpp
+++ b/src/node/version/item_cache.hpp
@@ -7,8 +7,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace basilpath
@@ -106,7 +108,7 @@
 
     listener on_change;
     std::map<std::string, cached_item> items;
-    std::map<store_revision, std::string> removals;
+    std::set<std::pair<store_revision, std::string>> removals;
 
     /// All removals after this revision are kept.
     store_revision removals_from = 0;
