Do not follow deferred changes late, nor writes that are repeated in order

Cause: after a pause a host took what waited in its sockets for a confirmation of its view and followed deferred changes at once. And a write in the new era ended the wait of its item even if it only repeated an earlier registration, or could not be used. Change: a late update round starts the waits anew; a registration that is earlier than the one held leaves the wait as it is. At most 64 deferrals are logged one by one.

--- a/src/node/process/deferred_changes.cpp
+++ b/src/node/process/deferred_changes.cpp
@@ -11,8 +11,12 @@
 void deferred_changes::add(const item_change& change, milliseconds wait,
                            instant now)
 {
-    this->changes.insert_or_assign(change.key,
-                                   deferred_change{change, wait, now + wait});
+    const auto [found, added] = this->changes.try_emplace(
+        change.key, deferred_change{change, wait, now + wait});
+    if (!added)
+    {
+        found->second.change = change;
+    }
 }
 
 bool deferred_changes::drop(const std::string& key)
--- a/src/node/process/deferred_changes.hpp
+++ b/src/node/process/deferred_changes.hpp
@@ -20,14 +20,21 @@
 class deferred_changes
 {
 public:
-    /// Defers a change; replaces an earlier one of the same item.
+    /// Defers a change; replaces an earlier one of the same item, without a new
+    /// wait.
     void add(const item_change& change, milliseconds wait, instant now);
 
+    [[nodiscard]] bool contains(const std::string& key) const
+    {
+        return this->changes.contains(key);
+    }
+
     /// Drops the change of an item that has been written again. Returns whether
     /// there was one.
     bool drop(const std::string& key);
 
-    /// Starts all waits anew, as the store was restored again.
+    /// Starts all waits anew: the store was restored again, or this process was
+    /// paused.
     void restart(instant now);
 
     /// Removes and returns the changes whose wait had ended by the time at
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -80,6 +80,13 @@
 /// rounds.
 inline constexpr std::uint64_t rounds_per_limit_log = 4;
 
+/// A process whose update round is later than this has been paused: it has not
+/// yet received what happened meanwhile.
+inline constexpr milliseconds max_round_delay{500};
+
+/// Beyond this number, deferred changes are counted but not logged.
+inline constexpr std::size_t max_logged_deferrals = 64;
+
 /// A host that has just started may not have discovered all others yet, so it
 /// assumes at least this many hosts for a while.
 inline constexpr milliseconds discovery_time{3'000};
@@ -417,8 +424,8 @@
 void node<Adapter>::take_change(const item_change& change)
 {
     const decoded_item item = Adapter::decode(change);
-    this->deferred.drop(change.key);
-    if (change.restored)
+    // What the store lost may be written again in the order of the first time.
+    if (change.restored || this->deferred.contains(change.key))
     {
         const auto id = replica_of(item);
         const auto wait = restored_item_wait(
@@ -430,17 +437,24 @@
             return;
         }
     }
+    if (!std::holds_alternative<unusable_item>(item))
+    {
+        this->deferred.drop(change.key);
+    }
     this->apply_item(change, item, node_bounds::removal_grace);
 }
 
 template <class Adapter>
 void node<Adapter>::defer_change(const item_change& change, milliseconds wait)
 {
-    log_event(log_level::info, "change_deferred",
-              {{"key", change.key},
-               {"removed", !change.value},
-               {"era", change.era.value},
-               {"wait_ms", wait.count()}});
+    if (this->deferred.count() < node_bounds::max_logged_deferrals)
+    {
+        log_event(log_level::info, "change_deferred",
+                  {{"key", change.key},
+                   {"removed", !change.value},
+                   {"era", change.era.value},
+                   {"wait_ms", wait.count()}});
+    }
     this->deferred.add(change, wait,
                        to_instant(std::chrono::steady_clock::now()));
 }
@@ -547,6 +561,11 @@
         timer.expires_after(node_bounds::update_interval);
         co_await timer.async_wait(
             boost::asio::as_tuple(boost::asio::use_awaitable));
+        const auto time = std::chrono::steady_clock::now();
+        if (time - timer.expiry() > node_bounds::max_round_delay)
+        {
+            this->deferred.restart(to_instant(time));
+        }
         this->apply_deferred();
         this->targets.expire_departed();
         this->update_shares();
--- a/test/restored_store_test.cpp
+++ b/test/restored_store_test.cpp
@@ -132,6 +132,33 @@
           std::vector<store_position>{{store_era(1), store_revision(100)}});
 }
 
+// Guards against an item that one host holds for good because the host that
+// told it of its removal had never held it.
+TEST_CASE("the removal of an item that is not held is passed on")
+{
+    recorded_view first;
+    recorded_view second;
+    // The item is removed between the pages that the two hosts read.
+    first.apply(full(1, 130, {{"b", "1", 120}}));
+    second.apply(full(1, 130, {{"a", "1", 110}, {"b", "1", 120}}));
+    first.apply(since(1, 130, 131, {{"a", std::nullopt, 131}}));
+    second.apply(first.view.view().since({store_era(1), 130}));
+    CHECK(second.changes == strings{"a=gone"});
+}
+
+TEST_CASE("items that are removed at one revision are all passed on")
+{
+    recorded_view first;
+    recorded_view second;
+    const item_update both = full(1, 10, {{"a", "1", 5}, {"b", "1", 6}});
+    first.apply(both);
+    second.apply(both);
+    first.apply(
+        since(1, 10, 12, {{"a", std::nullopt, 12}, {"b", std::nullopt, 12}}));
+    second.apply(first.view.view().since({store_era(1), 10}));
+    CHECK(second.changes == strings{"a=gone", "b=gone"});
+}
+
 peer_datagram datagram_at(std::uint64_t era)
 {
     peer_datagram sent;
@@ -190,12 +217,18 @@
     CHECK_FALSE(deferred.drop("a"));
     CHECK(deferred.take_due(instant(3s)).empty());
 
+    // A later change of the item has the same wait.
+    deferred.add({"b", "x", 7}, 4s, instant(3s));
+    CHECK(deferred.contains("b"));
+    CHECK_FALSE(deferred.contains("a"));
+
     // The store is restored once more.
     deferred.restart(instant(3s));
     CHECK(deferred.take_due(instant(6'999ms)).empty());
     const auto due = deferred.take_due(instant(7s));
     REQUIRE(due.size() == 1);
     CHECK(due[0].key == "b");
+    CHECK(due[0].value == "x");
     CHECK(deferred.count() == 0);
 }
 
