Bound the age of a view in a datagram

Cause: an age of any size was subtracted from the time and could overflow. Change: an age counts as at most an hour, as the others in a datagram do; a datagram with a larger one is still read, since a store may be away for longer.

--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -279,11 +279,12 @@
             datagram.position.revision = message.at(2).get<store_revision>();
             if (!message.at(3).is_null())
             {
-                datagram.age = milliseconds(message.at(3).get<std::int64_t>());
-                if (*datagram.age < milliseconds(0))
+                const milliseconds age(message.at(3).get<std::int64_t>());
+                if (age < milliseconds(0))
                 {
                     return std::nullopt;
                 }
+                datagram.age = std::min<milliseconds>(age, max_age);
             }
             for (const json& one : message.at(4))
             {
