Confirm the view as of when an answer of the store can have been made

Cause: a read confirmed the view as of the moment at which its answer was read; a host that was paused so took an answer from before the pause for a new one and followed what it had deferred. Change: a watch confirms as of its time limit at the latest, a full read as of its start. Evidence: "an answer that reaches a paused host late does not confirm its view" failed before (a view confirmed by an answer 20 s old) and passes now.

--- a/src/node/process/store_reader.hpp
+++ b/src/node/process/store_reader.hpp
@@ -43,7 +43,7 @@
     boost::asio::awaitable<bool> read_all();
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<void> pause(milliseconds wait);
-    [[nodiscard]] bool apply(const item_update& update);
+    [[nodiscard]] bool apply(const item_update& update, instant as_of);
     void record_era(const read_result& result);
     void record_result(const read_result& result);
     void record_turn(bool due, instant now);
--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -143,6 +143,7 @@
 template <runtime Runtime, item_source Source>
 boost::asio::awaitable<bool> store_reader<Runtime, Source>::read_all()
 {
+    const instant started = to_instant(Runtime::clock::now());
     const read_result result =
         co_await this->source.read_all(store_reader_bounds::read_timeout);
     this->record_result(result);
@@ -151,7 +152,7 @@
         co_return false;
     }
     this->full_read_due = false;
-    const bool current = this->apply(result.update);
+    const bool current = this->apply(result.update, started);
     const bool era_confirmed = result.update.era >= this->latest_era;
     // A response named a later era, but the store is not in it.
     this->latest_era = std::min(this->latest_era, result.update.era);
@@ -164,9 +165,10 @@
     const instant started = to_instant(Runtime::clock::now());
     const store_position held = this->view.view().position();
     const store_revision after = held.revision;
+    constexpr milliseconds timeout =
+        store_reader_bounds::watch_wait + store_reader_bounds::watch_margin;
     const read_result result = co_await this->source.watch(
-        after, store_reader_bounds::watch_wait,
-        store_reader_bounds::watch_wait + store_reader_bounds::watch_margin);
+        after, store_reader_bounds::watch_wait, timeout);
     this->record_result(result);
     // Another host may have sent the view of a restored store meanwhile.
     const bool same_era = this->view.view().position().era == held.era;
@@ -185,7 +187,10 @@
         // The revision of an earlier era means nothing in this one.
         co_return true;
     }
-    if (!this->apply(result.update))
+    // A paused process reads an answer long after it has arrived.
+    const instant as_of =
+        std::min(to_instant(Runtime::clock::now()), started + timeout);
+    if (!this->apply(result.update, as_of))
     {
         co_return false;
     }
@@ -209,13 +214,14 @@
         boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
-// Applies an update of the store. Returns whether it was current.
+// Applies an update that the store answered at `as_of` or later. Returns
+// whether it was current.
 template <runtime Runtime, item_source Source>
-bool store_reader<Runtime, Source>::apply(const item_update& update)
+bool store_reader<Runtime, Source>::apply(const item_update& update,
+                                          instant as_of)
 {
     const store_position held = this->view.view().position();
-    const update_result result =
-        this->view.apply(update, to_instant(Runtime::clock::now()));
+    const update_result result = this->view.apply(update, as_of);
     // Another host may have sent later changes while the store was read.
     const bool current =
         result == update_result::applied || result == update_result::outdated;
