Send nothing new to a replica whose answers say that it leaves

Cause: a replica that leaves says so in all its answers (Server-Leaving: 1), but nothing read the header.

Change: leaf_codec decodes the header; any whole answer of the replica counts, a failed health check included, but not a 421 or an answer that names another replica. From the first one, placement takes the replica only if there is no other, for at most half of the replicas' drain timeout, then not at all. Calls that wait for it return unsent, idle connections are closed, none is opened in advance and it is not probed. The notice belongs to the process: it is kept apart from the entry, which is older than the answer, and stays for a minute with the departed replicas, if the start of the process is known. A log line at both ends, a gauge, and the reason "leaving" in no_replica.

check_health now returns unhealthy replies of the replica as well; its caller checks the status.

--- a/fuzz/http_messages.cpp
+++ b/fuzz/http_messages.cpp
@@ -33,6 +33,12 @@
     {
         std::abort();
     }
+    const bool says_leaving = answer["Server-Leaving"] == "1";
+    if (reply.leaving != says_leaving ||
+        reply.responder != platform::leaf_codec::responding_replica(answer))
+    {
+        std::abort();
+    }
 }
 
 void check_request(const std::string& bytes)
--- a/src/node/process/departed_replicas.cpp
+++ b/src/node/process/departed_replicas.cpp
@@ -15,9 +15,19 @@
 
 } // namespace
 
-void departed_replicas::note(const replica& removed, instant now)
+void departed_replicas::note(const replica& removed, instant now,
+                             const leaving_notice& notice)
 {
-    this->departures.insert_or_assign(removed.id, departure{removed, now});
+    this->departures.insert_or_assign(removed.id,
+                                      departure{removed, now, notice});
+}
+
+leaving_notice departed_replicas::notice_of(const replica& listed) const
+{
+    const auto found = this->departures.find(listed.id);
+    const bool same = found != this->departures.end() && listed.started != 0 &&
+                      found->second.last.same_process(listed);
+    return same ? found->second.notice : leaving_notice{};
 }
 
 std::optional<replica> departed_replicas::find(const leaf_id& id) const
--- a/src/node/process/health_check.hpp
+++ b/src/node/process/health_check.hpp
@@ -19,12 +19,15 @@
 
 inline constexpr milliseconds health_check_timeout{400};
 
+/// Status of a replica that is healthy and does not leave.
+inline constexpr unsigned healthy_status = 200;
+
 /// Limit of the body of a health check's answer, which is not used.
 inline constexpr std::uint64_t max_health_check_bytes = 16'384;
 
-/// Checks the health of a replica on a separate connection. Returns its reply
-/// with its load, or nothing when the replica is unhealthy, does not answer in
-/// time, or a different replica answers at its address.
+/// Checks the health of a replica on a separate connection. Returns its reply,
+/// which may say that it is unhealthy, or nothing when the replica does not
+/// answer in time or a different replica answers at its address.
 template <target_codec Codec>
 boost::asio::awaitable<std::optional<target_reply>>
 check_health(boost::asio::any_io_executor executor, replica target,
@@ -33,10 +36,9 @@
     node_http_client client(executor, target.address, max_health_check_bytes);
     auto response = co_await client.get(std::move(path), health_check_timeout);
     client.close();
-    const bool good = response.has_value() &&
-                      Codec::responding_replica(*response) == target.id &&
-                      response->result_int() == 200;
-    if (!good)
+    const bool own = response.has_value() &&
+                     Codec::responding_replica(*response) == target.id;
+    if (!own)
     {
         co_return std::nullopt;
     }
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -162,6 +162,8 @@
         this->accept_links();
     }
     this->targets.set_cold_bound(this->settings.cold_bound);
+    this->targets.set_replica_drain_timeout(
+        this->settings.replica_drain_timeout);
     this->targets.on_connect_failed([this](const leaf_id& one, instant now)
                                     { this->crashes.note_down(one, now); });
     this->view.on_restore(
@@ -263,6 +265,8 @@
         static_cast<double>(this->targets.limited_replica_count());
     stats.cold_replicas =
         static_cast<double>(this->targets.cold_replica_count());
+    stats.leaving_replicas =
+        static_cast<double>(this->targets.leaving_replica_count());
     stats.quarantined_requests =
         static_cast<double>(this->crashes.quarantine_count(now));
     stats.scarce_groups =
@@ -326,6 +330,7 @@
         {loaded->repeat_ratio, loaded->repeat_slack, loaded->repeat_window});
     this->memory->set_bound(node_bounds::message_memory(*loaded));
     this->targets.set_cold_bound(loaded->cold_bound);
+    this->targets.set_replica_drain_timeout(loaded->replica_drain_timeout);
     this->update_shares();
     log_event(log_level::info, "reloaded",
               {{"addresses_need_restart", addresses_changed}});
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -92,6 +92,9 @@
     gauge("basilpath_node_cold_replicas",
           "Replicas whose requests are limited because they are cold.",
           stats.cold_replicas);
+    gauge("basilpath_node_leaving_replicas",
+          "Replicas whose answers say that they leave.",
+          stats.leaving_replicas);
     gauge("basilpath_node_quarantined_requests",
           "Requests that are not sent to replicas because they crash them.",
           stats.quarantined_requests);
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -27,6 +27,7 @@
     double replicas = 0;
     double limited_replicas = 0;
     double cold_replicas = 0;
+    double leaving_replicas = 0;
     double quarantined_requests = 0;
     double scarce_groups = 0;
     double evacuated_domains = 0;
--- a/src/node/process/placement.cpp
+++ b/src/node/process/placement.cpp
@@ -38,6 +38,16 @@
 // Makes a delisted replica the last choice.
 constexpr microseconds delisted_penalty = 10s;
 
+// Makes a replica that says that it leaves the last choice, after delisted
+// ones: those may be listed again.
+constexpr microseconds leaving_penalty = 20s;
+
+// Returns whether a replica has left, by its entry or by its answers.
+bool has_left(const candidate& one)
+{
+    return one.target->leaving || one.leaving == leaving_phase::over;
+}
+
 // Returns how much of the preference beyond the usual cross-domain cost a
 // replica of this host's domain loses by its failures. Needed when replicas of
 // one domain shed calls while those of another do not.
@@ -55,7 +65,7 @@
 
 bool is_eligible(const candidate& one)
 {
-    return one.health->available() && !one.target->leaving && !one.evacuated;
+    return one.health->available() && !has_left(one) && !one.evacuated;
 }
 
 bool placement_query::is_delegated(const candidate& one) const
@@ -85,7 +95,7 @@
         {
             ++result.down;
         }
-        else if (one.target->leaving)
+        else if (has_left(one))
         {
             ++result.leaving;
         }
@@ -162,6 +172,10 @@
         {
             cost += delisted_penalty;
         }
+        if (one.leaving == leaving_phase::last_choice)
+        {
+            cost += leaving_penalty;
+        }
         cost += microseconds(random %
                              static_cast<std::uint64_t>(random_jitter.count()));
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
--- a/src/node/process/placement.hpp
+++ b/src/node/process/placement.hpp
@@ -1,6 +1,7 @@
 /// Chooses the replica that receives a request.
 #pragma once
 
+#include "node/process/leaving_notice.hpp"
 #include "node/process/limit_bucket.hpp"
 #include "node/process/replica_health.hpp"
 #include "node/version/replica.hpp"
@@ -34,6 +35,9 @@
     /// Whether nothing may be sent to the replica's failure domain.
     bool evacuated = false;
 
+    /// What the replica's answers say of its departure.
+    leaving_phase leaving = leaving_phase::none;
+
     /// Returns how long a call waits until the limit admits it.
     [[nodiscard]] microseconds limit_wait(instant now) const
     {
@@ -109,6 +113,8 @@
 
     /// Down, or on trial with a call outstanding.
     std::size_t down = 0;
+
+    /// By their entry or by their answers.
     std::size_t leaving = 0;
     std::size_t asked = 0;
 
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -3,6 +3,7 @@
 
 #include "node/connection/target_connection.hpp"
 #include "node/process/call_queue.hpp"
+#include "node/process/leaving_notice.hpp"
 #include "node/process/limit_bucket.hpp"
 #include "node/process/memory_budget.hpp"
 #include "node/process/replica_health.hpp"
@@ -67,6 +68,12 @@
     /// Set while nothing may be sent to the replica's failure domain.
     bool evacuated = false;
 
+    /// What the replica's answers say of its departure.
+    leaving_notice notice;
+
+    /// Whether the end of its time as the last choice is logged.
+    bool last_choice_ended = false;
+
     /// If the last connection closes before this time, a new one checks whether
     /// the replica still accepts connections. Set when a call broke.
     instant connect_check_until{};
@@ -74,9 +81,22 @@
     /// Returns whether a list entry describes the process of this entry.
     [[nodiscard]] bool same_process(const replica& other) const
     {
-        return this->target.started == other.started &&
-               this->target.address == other.address &&
-               this->target.service == other.service;
+        return this->target.same_process(other);
+    }
+
+    /// Returns the last registration, with what the answers say since.
+    [[nodiscard]] replica last_known() const
+    {
+        replica last = this->target;
+        last.leaving = last.leaving || this->notice.given();
+        return last;
+    }
+
+    /// Returns whether nothing may be sent to the replica.
+    [[nodiscard]] bool closed_to_requests(instant now) const
+    {
+        return this->evacuated ||
+               this->notice.phase(now) == leaving_phase::over;
     }
 
     /// Returns whether the limit admits a request now.
--- a/src/node/process/replica_list.hpp
+++ b/src/node/process/replica_list.hpp
@@ -3,6 +3,7 @@
 
 #include "node/process/placement.hpp"
 #include "node/version/replica.hpp"
+#include "process/instant.hpp"
 #include "version/ids.hpp"
 
 #include <algorithm>
@@ -16,7 +17,8 @@
 namespace basilpath
 {
 
-/// Holds entries, each with a `target`, its `health` and a `delisted` flag.
+/// Holds entries, each with a `target`, its `health`, a `delisted` flag and a
+/// `notice`.
 template <class Entry>
 class replica_list
 {
@@ -40,18 +42,19 @@
     }
 
     /// Returns the replicas of a service as candidates for placement.
-    [[nodiscard]] std::vector<candidate>
-    candidates(const service_name& service) const
+    [[nodiscard]] std::vector<candidate> candidates(const service_name& service,
+                                                    instant now) const
     {
         std::vector<candidate> result;
         std::ranges::transform(
             this->of(service), std::back_inserter(result),
-            [](const pointer& one)
+            [now](const pointer& one)
             {
                 return candidate{
-                    &one->target,        &one->health,
-                    one->delisted,       one->limit ? &*one->limit : nullptr,
-                    one->waiting.size(), one->evacuated};
+                    &one->target,          &one->health,
+                    one->delisted,         one->limit ? &*one->limit : nullptr,
+                    one->waiting.size(),   one->evacuated,
+                    one->notice.phase(now)};
             });
         return result;
     }
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -102,6 +102,15 @@
     /// Number of replicas whose requests are limited because they are cold.
     [[nodiscard]] std::size_t cold_replica_count() const;
 
+    /// Sets for how long a replica that leaves serves what it gets.
+    void set_replica_drain_timeout(milliseconds timeout)
+    {
+        this->replica_drain_timeout = timeout;
+    }
+
+    /// Number of replicas whose answers say that they leave.
+    [[nodiscard]] std::size_t leaving_replica_count() const;
+
     /// Sets the connection limits of services.
     void set_routes(const std::shared_ptr<const route_table>& routes);
 
@@ -210,6 +219,9 @@
                    target_result result);
     void note_failure(const entry_pointer& one,
                       const std::shared_ptr<target_call>& call, instant time);
+    void note_leaving(const entry_pointer& one, const target_reply& reply,
+                      instant time);
+    void sweep_leaving(const entry_pointer& one, instant time);
     void note_belief(const entry_pointer& one, replica_belief before,
                      instant time);
     void note_send(const leaf_id& replica, call_purpose purpose);
@@ -243,6 +255,7 @@
     route_latencies latencies;
     named_limits limits;
     limit_shares shares;
+    milliseconds replica_drain_timeout{3'000};
     cold_excess cold_bound;
     bool cold_sharers_known = true;
     std::shared_ptr<cold_speed> cold_replica_speed =
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -80,10 +80,11 @@
         {},
         {},
         false,
-        this->evacuated.contains(one.domain)});
+        this->evacuated.contains(one.domain),
+        this->departed.notice_of(one)});
     this->replicas.add(made);
     this->apply_limit(made);
-    if (this->hosts.own)
+    if (this->hosts.own && !made->notice.given())
     {
         this->open(made);
     }
@@ -95,7 +96,10 @@
 {
     return std::ranges::any_of(this->candidates(service),
                                [](const candidate& one)
-                               { return !one.delisted && is_eligible(one); });
+                               {
+                                   return !one.delisted && is_eligible(one) &&
+                                          one.leaving == leaving_phase::none;
+                               });
 }
 
 // Returns the calls that wait for a replica which drains or was taken off the
@@ -133,7 +137,7 @@
         return;
     }
     this->replicas.remove(one);
-    this->departed.note(one->target, now());
+    this->departed.note(one->last_known(), now(), one->notice);
     one->fail_unsent(one->waiting.take_all(), now());
     one->close_idle();
 }
@@ -144,7 +148,7 @@
 {
     if (const entry_pointer listed = this->replicas.find(id))
     {
-        return known_replica{listed->target, !listed->delisted};
+        return known_replica{listed->last_known(), !listed->delisted};
     }
     const auto last = this->departed.find(id);
     return last ? std::optional(known_replica{*last, false}) : std::nullopt;
@@ -180,7 +184,7 @@
     }
     for (const auto& [id, one] : this->replicas.all())
     {
-        if (one->connections.empty() && !one->target.leaving)
+        if (one->connections.empty() && !one->last_known().leaving)
         {
             this->open(one);
         }
@@ -197,14 +201,14 @@
 std::vector<candidate>
 target_pool<Codec>::candidates(const service_name& service) const
 {
-    return this->replicas.candidates(service);
+    return this->replicas.candidates(service, now());
 }
 
 template <target_codec Codec>
 void target_pool<Codec>::send(const std::shared_ptr<target_call>& call)
 {
     const entry_pointer one = this->replicas.find(call->to);
-    if (!one || one->evacuated)
+    if (!one || one->closed_to_requests(now()))
     {
         call->done({call_end::unsent, {}, microseconds(0)});
         return;
@@ -266,7 +270,7 @@
 template <target_codec Codec>
 void target_pool<Codec>::open(const entry_pointer& one)
 {
-    if (one->evacuated)
+    if (one->closed_to_requests(now()))
     {
         return;
     }
@@ -326,7 +330,7 @@
 void target_pool<Codec>::dispatch(const entry_pointer& one)
 {
     const instant time = now();
-    if (one->evacuated)
+    if (one->closed_to_requests(time))
     {
         one->fail_unsent(one->waiting.take_all(), time);
         one->close_idle();
@@ -425,6 +429,7 @@
         {
             one->health.on_trial_ended(time, trial_end::answered);
         }
+        this->note_leaving(one, result.reply, time);
         if (result.reply.misdirected())
         {
             log_event(log_level::info, "replica_misdirected",
@@ -546,11 +551,12 @@
     {
         this->apply_limit(one);
     }
+    this->sweep_leaving(one, time);
     if (!one->waiting.empty())
     {
         this->dispatch(one);
     }
-    if (one->health.down() && !one->evacuated &&
+    if (one->health.down() && !one->evacuated && !one->notice.given() &&
         time >= one->health.next_probe() && one->take_limit(time))
     {
         one->health.on_probe_started(time);
@@ -601,6 +607,11 @@
     {
         co_return;
     }
+    this->note_leaving(one, *reply, now());
+    if (reply->status != healthy_status)
+    {
+        co_return;
+    }
     this->limits.note_answer(one->target.id, reply->named_limit, false, sent,
                              now());
     if (reply->cold_left)
@@ -614,7 +625,8 @@
     log_event(log_level::info, trial ? "replica_on_trial" : "replica_up",
               {{"replica", one->target.id.value},
                {"service", one->target.service.value}});
-    if (one->connections.empty() && this->replicas.find(one->target.id) == one)
+    if (one->connections.empty() && !one->notice.given() &&
+        this->replicas.find(one->target.id) == one)
     {
         this->open(one);
     }
@@ -644,4 +656,5 @@
 } // namespace basilpath
 
 #include "node/process/target_pool_evacuation.ipp"
+#include "node/process/target_pool_leaving.ipp"
 #include "node/process/target_pool_limits.ipp"
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -54,6 +54,12 @@
     /// proves nothing about this one.
     bool unattributed = false;
 
+    /// The replica that answered, if the answer names it.
+    std::optional<leaf_id> responder;
+
+    /// The replica says that it leaves: it accepts no new requests.
+    bool leaving = false;
+
     std::optional<replica_load> load;
 
     /// The rate that the replica accepts from all hosts together; nothing when
--- a/src/node/version/replica.hpp
+++ b/src/node/version/replica.hpp
@@ -33,6 +33,13 @@
     /// Counts its registrations since its start; zero when unknown.
     std::int64_t sequence = 0;
 
+    /// Returns whether two registrations are of one process.
+    [[nodiscard]] bool same_process(const replica& other) const
+    {
+        return std::tie(this->started, this->address, this->service) ==
+               std::tie(other.started, other.address, other.service);
+    }
+
     bool operator==(const replica&) const = default;
 
     /// Returns whether the replica registered itself in this way before it did
--- a/test/scripted_targets.hpp
+++ b/test/scripted_targets.hpp
@@ -115,7 +115,7 @@
             {
                 found.push_back({&one->target, &one->health, false,
                                  one->limit ? &*one->limit : nullptr, 0,
-                                 one->evacuated});
+                                 one->evacuated, one->leaving});
             }
         }
         return found;
@@ -167,6 +167,12 @@
         this->find(id).evacuated = true;
     }
 
+    /// Sets what the answers of a replica have said of its departure.
+    void set_leaving(const std::string& id, leaving_phase phase)
+    {
+        this->find(id).leaving = phase;
+    }
+
     replica_health& health(const std::string& id)
     {
         return this->find(id).health;
@@ -196,6 +202,7 @@
         replica_health health;
         std::optional<limit_bucket> limit;
         bool evacuated = false;
+        leaving_phase leaving = leaving_phase::none;
     };
 
     scripted_replica& find(const std::string& id)
