Soak: drills of the store, and leafs that say that they leave

Change: the fault store_drill, in all runs that name no kinds; checks config and said_leaving, and a plant for each. The store names its era, and 410 for a watch from a revision that it does not have. An entry is written again only if more than seq changes; a leaf that leaves counts as draining from when the store took its entry.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,8 @@
 from slow_readers import SlowReaders
 
 VERSION_SLACK_S = 0.25
+# Time from the acknowledgement of a version within which hosts in touch use it.
+CONFIG_APPLY_S = 3.0
 
 # Time within which a host may still close a connection on which a request arrives.
 LOSS_SLACK_S = 0.2
@@ -53,7 +55,10 @@
         self.world = world
         self.counts = {}
         self.answers = {}
+        # When each request was sent, and when the answer with a leaf's signature had arrived.
+        self.sent, self.passed_on = {}, {}
         self.newest = {}
+        self.versions_checked = 0
         self.cut = []
         self.stalls = []
         self.number = 0
@@ -66,6 +71,7 @@
     def note_sent(self, request):
         request.sent = time.monotonic()
         self.world.requests.append((request.sent, request.kind))
+        self.sent[request.id] = request.sent
         self.answers[request.id] = (request.kind, None)
 
     def note_outcome(self, request, status, why=""):
@@ -82,8 +88,12 @@
         if status == 200:
             self.check_answer(request.kind, request.id, headers, content)
             if request.kind == "version":
-                node = next(one for one in self.world.nodes if one.ip == ip)
-                self.check_version(node, request.id, request.sent)
+                self.check_version(self.node_at(ip), request.id, request.sent)
+        if request.kind == "version":
+            self.check_in_force(self.node_at(ip), request.id, request.sent)
+
+    def node_at(self, ip):
+        return next(one for one in self.world.nodes if one.ip == ip)
 
     async def call(self, ip, port, lines, body=b"", pool=None, timeout=3.0, body_delay=0.0):
         """Returns status, headers and body; None with a reason when the call fails."""
@@ -169,6 +179,8 @@
             self.check_answered(request, ip, answer)
             return
         self.note_outcome(request, None, why)
+        if kind == "version":
+            self.check_in_force(self.node_at(ip), request.id, request.sent)
         if "closed" in why or "after" in why:
             self.cut.append((request.id, ip, why, request.sent + body_delay, time.monotonic()))
 
@@ -187,9 +199,11 @@
             service = by_signature.get(signature)
             if service is None or content != world.records(request, service):
                 world.report_violation("mixed", f"{request}: {signature} {content[:20]!r}")
+            self.passed_on[signature] = time.monotonic()
             return
         stamps = [one.strip() for one in headers.get("x-part-stamps", "").split(",")]
         services = [by_signature.get(one) for one in stamps]
+        self.passed_on.update(dict.fromkeys(stamps, time.monotonic()))
         missing = int(headers.get("x-missing-parts", "0"))
         if None in services or len(set(services)) != len(services):
             world.report_violation("mixed", f"{request}: parts {services} {stamps}")
@@ -210,15 +224,36 @@
         import hashlib
         return hashlib.sha256(f"{request}/{leaf}/{self.world.seed}".encode()).hexdigest()[:16]
 
-    def check_version(self, node, request, sent):
-        """A process never uses an older configuration than one it has used before."""
+    def version_used(self, request):
+        """The newest version that its first run allows; None if it did not run."""
         runs = self.world.runs.get(request, [])
         if not runs:
-            return
+            return None
         # Versions use the services in turn, so this is the newest version published by then
         # that the host may have used.
         published = self.world.published_at_run[request]
-        seen = published - (published - int(runs[0][0][1:])) % VERSIONS
+        return published - (published - int(runs[0][0][1:])) % VERSIONS
+
+    def check_in_force(self, node, request, sent):
+        """A host in touch does not use a version if a newer one was acknowledged more than
+        CONFIG_APPLY_S before the request was sent."""
+        due, at = max([(version, at) for version, at in self.world.acknowledged.items()
+                       if sent > at + CONFIG_APPLY_S], default=(0, 0.0))
+        seen = self.version_used(request)
+        if not due or seen is None or not self.world.evacuations.is_in_touch(node, sent) or (
+                node.was_disturbed(sent, time.monotonic())):
+            return
+        self.versions_checked += 1
+        if seen < due:
+            self.world.report_violation(
+                "config", f"{request} at {node.ip} ran at v{seen}, sent {sent - at:.2f} s after "
+                f"v{due} was acknowledged")
+
+    def check_version(self, node, request, sent):
+        """A process never uses an older configuration than one it has used before."""
+        seen = self.version_used(request)
+        if seen is None:
+            return
         key = (node.ip, node.process.pid)
         newest, since = self.newest.get(key, (0, 0.0))
         if seen < newest:
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -126,8 +126,10 @@
 
     async def _store_up(self):
         """Waits until the store acknowledges what the operator writes."""
+        await self.drills.caught_up()
         while self.store.mode != "up":
             await asyncio.sleep(STORE_POLL_S)
+            await self.drills.caught_up()
 
     async def send_health_checks(self, leaf, count):
         """Sends requests to a leaf in one write, as a plant."""
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -12,6 +12,7 @@
 import time
 
 from cold_leafs import SLOWDOWN, ColdLeaf
+from leaving import SaidLeaving, host_of
 from limits import NamedLimit, host_of_connection
 
 # Items a page of the store, few enough for many pages.
@@ -126,31 +127,80 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.oldest = 0
+        self.era = 1
+        self.is_away = False
+        # What each key's writer wrote last, accepted or not.
+        self.latest = {}
+        # Keys whose writes are accepted and lost, as a plant.
+        self.dropped_keys = set()
 
     def put(self, key, value):
         self.put_bytes(key, json.dumps(value).encode())
 
     def put_bytes(self, key, value):
+        self.latest[key] = value
+        if self.is_away or key in self.dropped_keys:
+            return
         self.revision += 1
         self.items[key] = (value, self.revision)
         self._record({"key": key, "value": base64.b64encode(self.items[key][0]).decode(),
                       "revision": self.revision, "createRevision": 1, "lease": 0})
 
     def delete(self, key):
-        if key in self.items:
+        self.latest.pop(key, None)
+        if key in self.items and not self.is_away:
             self.revision += 1
             del self.items[key]
             self._record({"key": key, "revision": self.revision, "deleted": True})
 
     def compact(self):
         self.oldest = self.revision
+        self._wake()
+
+    def copy(self):
+        """A copy of the store as it is now."""
+        return dict(self.items), list(self.log), self.revision, self.oldest
+
+    def go_away(self):
+        """Resets all connections and refuses new ones."""
+        self.is_away = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self._wake()
+
+    async def come_back(self, copy):
+        """Serves again, with the content of a copy and in the next era."""
+        items, log, self.revision, self.oldest = copy
+        self.items, self.log = dict(items), list(log)
+        self.era += 1
+        self.is_away = False
+        self._wake()
+        await self.start()
+
+    def lost_keys(self, prefix):
+        """The keys at which the store does not hold what was written last."""
+        return sorted(key for key in self.items.keys() | self.latest.keys()
+                      if key.startswith(prefix)
+                      and self.latest.get(key) != self.items.get(key, (None, 0))[0])
+
+    def write_latest(self, key):
+        """Writes again what the key's writer wrote last."""
+        if key in self.latest:
+            self.put_bytes(key, self.latest[key])
+        else:
+            self.delete(key)
+
+    def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
     def _record(self, event):
         self.log.append(event)
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._wake()
+
+    def _reply(self, status, body=b""):
+        return reply(status, body, [("Store-Era", self.era)])
 
     def _item(self, key):
         value, revision = self.items[key]
@@ -165,8 +215,9 @@
             writer.transport.abort()
             return False
         if self.mode == "busy":
-            writer.write(reply(503))
+            writer.write(self._reply(503))
             return True
+        era = self.era
         path, _, query = first[1].partition("?")
         from urllib.parse import parse_qs
         parameters = {key: values[0] for key, values in
@@ -180,8 +231,8 @@
             answer = {"items": [self._item(key) for key in keys], "hasMore": has_more}
         elif path == "/kv-watch":
             after, wait = int(parameters["after"]), int(parameters["waitMs"]) / 1000
-            if after < self.oldest:
-                writer.write(reply(410))
+            if after < self.oldest or after > self.revision:
+                writer.write(self._reply(410))
                 return True
             prefix = parameters.get("prefix", "")
             if self.revision <= after:
@@ -189,14 +240,17 @@
                     await asyncio.wait_for(self.changed.wait(), wait)
                 except asyncio.TimeoutError:
                     pass
+            if self.is_away or self.era != era:
+                writer.transport.abort()
+                return False
             events = [one for one in self.log
                       if one["revision"] > after and one["key"].startswith(prefix)]
             answer = {"events": events}
         else:
-            writer.write(reply(404))
+            writer.write(self._reply(404))
             return True
         answer["currentRev"] = self.revision
-        writer.write(reply(200, json.dumps(answer).encode()))
+        writer.write(self._reply(200, json.dumps(answer).encode()))
         return True
 
 
@@ -212,7 +266,9 @@
         self.fault = None
         self.share = 0.5
         self.running = 0
+        # Since when the store has the entry of a leaf that leaves.
         self.leaving_since = None
+        self.is_leaving, self.said = False, SaidLeaving()
         self.last_taken = 0.0
         self.limit, self.limits = None, []
         self.cold = ColdLeaf()
@@ -228,10 +284,19 @@
                 "coldLeftMs": int(self.cold.left_s() * 1000), "seq": self.seq, "born": 1}
 
     def write_entry(self):
-        """Writes the entry as a heartbeat does."""
+        """Writes the entry as a heartbeat does; it changes when more than `seq` changes."""
         self.seq += 1
-        state = "ready" if self.leaving_since is None else "draining"
-        self.world.store.put(self.key, self.entry(state))
+        entry = self.entry("draining" if self.says_that_it_leaves else "ready")
+        held = self.world.store.items.get(self.key)
+        if held is None or dict(json.loads(held[0]), seq=self.seq) != entry:
+            self.world.store.put(self.key, entry)
+
+    @property
+    def says_that_it_leaves(self):
+        return self.is_leaving and self.world.args.plant != "said_leaving"
+
+    def leaving_headers(self):
+        return [("Server-Leaving", "1")] if self.says_that_it_leaves else []
 
     def signature(self, request):
         digest = hashlib.sha256(f"{request}/{self.id}/{self.world.seed}".encode())
@@ -249,8 +314,8 @@
             self.limits.append(self.limit)
 
     def state_headers(self):
-        """The leaf's load and, if it names one, its limit."""
-        headers = [("X-Server-Load", f"{self.running},0,2,100")]
+        """The leaf's load, whether it leaves and, if it names one, its limit."""
+        headers = [("X-Server-Load", f"{self.running},0,2,100"), *self.leaving_headers()]
         return headers + [("Server-Limit", f"{self.limit.rate:g}")] if self.limit else headers
 
     def arrived(self, first, headers, writer):
@@ -258,6 +323,8 @@
             return  # It gets 421.
         self.cold.note_arrival()
         self.world.evacuations.note_arrival(self, first[1], ends_of(writer))
+        if self.is_leaving and first[1] != "/health":
+            self.said.note_arrival(host_of(self, writer), headers.get("x-request-id", ""))
 
     async def handle(self, first, headers, body, writer):
         limit = self.limit
@@ -280,7 +347,7 @@
             return True
         request = headers.get("x-request-id", "")
         if headers.get("x-target-instance") != self.id:
-            writer.write(reply(421, b"", [("X-Instance-Id", self.id)]))
+            writer.write(reply(421, b"", [("X-Instance-Id", self.id), *self.leaving_headers()]))
             return True
         fault = self.fault if self.rng.random() < self.share else None
         if fault in ("shed", "shed-twice"):
@@ -312,6 +379,8 @@
             records = bytes(reversed(records))
         signed = [("X-Response-Signature", self.signature(request)),
                   ("X-Request-Id", request), *self.state_headers()]
+        if self.is_leaving:
+            self.said.note_answer(host_of(self, writer), self.signature(request))
         if fault == "error":
             writer.write(reply(500, b"failed", signed))
             return True
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -23,13 +23,14 @@
 import cold_leafs  # noqa: E402
 from callers import VERSIONS, Callers  # noqa: E402
 from cold_leafs import ColdFaults  # noqa: E402
+from drills import DrillFaults, Drills  # noqa: E402
 from evacuations import EVACUATE_S, EvacuationFaults, Evacuations  # noqa: E402
+from leaving import DRAIN_S  # noqa: E402
 from limits import CONTACT_S  # noqa: E402
 from platform_standin import Leaf, Store  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 SHARDS = 5
-DRAIN_S = 3.0
 GRACE_S = 6.0
 # Time after a start within which SIGTERM may still end a host at once.
 START_S = 3.0
@@ -61,7 +62,9 @@
 # Faults that belong to a run only if leafs have a rate while they are cold.
 COLD_KINDS = {"evacuate", "evacuate_cold", "leaf_cold"}
 # Plants that only the check of the same name may catch.
-NAMED_PLANTS = {"evac", "cold"}
+NAMED_PLANTS = {"evac", "cold", "config", "said_leaving"}
+# Time for which a leaf serves on after the store has its entry; at times many seconds.
+LEAVES_AFTER_S = [DRAIN_S + 0.5, DRAIN_S + 0.5, DRAIN_S + 4.0]
 
 
 class Node:
@@ -77,7 +80,7 @@
         self.expected_end = False
         self.planned_until = 0.0
         self.disturbed_until = 0.0
-        self.disturbances = []
+        self.disturbances, self.pauses = [], []
         self.file = world.folder / f"node-{number}.json"
         self.log = open(world.folder / f"node-{number}.log", "ab")
 
@@ -134,7 +137,7 @@
         return self.process is not None and self.process.returncode is None
 
 
-class World(EvacuationFaults, ColdFaults):
+class World(EvacuationFaults, ColdFaults, DrillFaults):
     """The environment of the nodes and the violations found."""
 
     def __init__(self, args, seed, folder):
@@ -151,10 +154,13 @@
         self.runs, self.arrivals, self.requests = {}, [], []
         self.published_at_run = {}
         self.version, self.shard_sets = 0, {}
+        self.acknowledged = {}
         self.violations = []
         self.next_leaf = 0
         self.store_steady_since, self.store_outages = time.monotonic(), []
         self.evacuations, self.zones_taken = Evacuations(self), set()
+        self.drills = Drills(self)
+        self.leaving_pairs = 0
         self.done = {}
         self.peak_memory_mb = 0.0
 
@@ -228,7 +234,8 @@
                          for name in sorted(names)],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}})
-        return time.monotonic()
+        self.acknowledged[self.version] = time.monotonic()
+        return self.acknowledged[self.version]
 
     async def build(self):
         await self.store.start()
@@ -337,10 +344,13 @@
     async def fault_leaf_leaves(self):
         leaf = self.rng.choice(self.leafs)
         (await self.add_leaf(leaf.service, leaf.zone, starts_cold=True)).work = leaf.work
-        self.store.put(leaf.key, leaf.entry("draining"))
-        leaf.leaving_since = time.monotonic()
+        leaf.is_leaving = True
         self.leafs.remove(leaf)
-        await asyncio.sleep(DRAIN_S + 0.5)
+        await self.drills.leaf_can_write()
+        leaf.write_entry()
+        leaf.leaving_since = time.monotonic()
+        await asyncio.sleep(max(LEAVES_AFTER_S) if self.args.plant == "said_leaving" else
+                            self.rng.choice(LEAVES_AFTER_S))
         self.store.delete(leaf.key)
         await leaf.stop()
         return "leaf leaves"
@@ -351,8 +361,9 @@
         begin = time.monotonic()
         await asyncio.sleep(self.rng.uniform(0.5, 3))
         mode, self.store.mode = self.store.mode, "up"
-        self.store_steady_since = time.monotonic()
-        self.store_outages.append((begin, self.store_steady_since))
+        if not self.store.is_away:
+            self.store_steady_since = time.monotonic()
+        self.store_outages.append((begin, time.monotonic()))
         return f"store {mode}"
 
     async def fault_odd_entry(self):
@@ -403,6 +414,7 @@
         node = self.rng.choice(self.nodes)
         seconds = self.rng.uniform(0.3, 2)
         self.disturb(node, seconds)
+        node.pauses.append(node.disturbances[-1])
         node.signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         node.signal(signal.SIGCONT)
@@ -459,6 +471,7 @@
 
     async def fault_config(self):
         for _ in range(self.rng.randint(1, 3)):
+            await self.drills.caught_up()
             self.put_configuration()
             await asyncio.sleep(self.rng.uniform(0.02, 0.8))
         return "configuration"
@@ -536,6 +549,14 @@
                         f"{excess[1]:.0f} allowed, {excess[2]:.1f} s after it named "
                         f"{limit.changes}")
 
+    def check_said_leaving(self, callers):
+        for leaf in self.all_leafs:
+            self.leaving_pairs += len(leaf.said.passed_on_first(callers.passed_on))
+            for ip, request, after in leaf.said.late(callers.passed_on, callers.sent):
+                self.report_violation(
+                    "said_leaving", f"{leaf.id} of {leaf.service} received {request} from {ip}, "
+                    f"sent {after:.2f} s after that had passed on that it leaves")
+
     # Each failed request in the logs must have a cause in the logs.
     def check_explained(self):
         logs = sorted(str(path) for path in self.folder.glob("node-*.log"))
@@ -563,16 +584,19 @@
     until = time.monotonic() + args.seconds
     stalls = asyncio.create_task(callers.measure_stalls())
     memory = asyncio.create_task(world.measure_memory())
+    copies = asyncio.create_task(world.drills.take_copies())
     tasks = [asyncio.create_task(callers.run(number, until)) for number in range(args.callers)]
     await world.inject(until)
     await asyncio.gather(*tasks)
     stalls.cancel()
     await callers.check_served()
     memory.cancel()
+    copies.cancel()
     await world.stop()
     world.check_budget()
     world.check_limits()
     world.check_cold(callers.stalls)
+    world.check_said_leaving(callers)
     callers.check_once()
     if args.planned:
         callers.check_lost()
@@ -585,6 +609,8 @@
           f"{world.evacuations.excused} excused; "
           f"cold {sum(len(leaf.cold.spans) for leaf in world.all_leafs)}, "
           f"at most {world.most_while_cold} requests in a second; "
+          f"drills {world.drills.played}, versions checked {callers.versions_checked}, "
+          f"hosts that heard of leaving leafs {world.leaving_pairs}; "
           f"memory {world.peak_memory_mb:.0f} MB; store calls {world.store.calls}", flush=True)
     if world.violations:
         print(f"  logs: {folder}", flush=True)
@@ -606,7 +632,8 @@
     parser.add_argument("--planned", action="store_true", help="only planned operations, no faults")
     parser.add_argument("--kinds", help="comma-separated names of faults; default all")
     parser.add_argument("--plant", choices=["mixed", "twice", "budget", "drain", "limit", "lost",
-                                              "pipelined", "cut", "memory", "evac", "cold"],
+                                              "pipelined", "cut", "memory", "evac", "cold",
+                                              "config", "said_leaving"],
                         help="inject a violation; the run must fail")
     parser.add_argument("--memory-mb", type=float, default=128.0,
                         help="memory that the settings allow a host, and that none may exceed")
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -2,6 +2,7 @@
 """Tests of the checks of the soak, on made-up observations."""
 
 import asyncio
+import json
 import os
 import pathlib
 import random
@@ -15,13 +16,15 @@
 from unittest import mock
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
-from callers import VERSION_SLACK_S, VERSIONS, Callers  # noqa: E402
+from callers import CONFIG_APPLY_S, VERSION_SLACK_S, VERSIONS, Callers  # noqa: E402
 from cold_leafs import (  # noqa: E402
     KNOWN_S, WINDOW_S, ColdLeaf, ColdSpan, allowed_a_window)
+from drills import COPY_AGE_S, Drills  # noqa: E402
 from evacuations import EVACUATE_S, PREFIX, Evacuations  # noqa: E402
+from leaving import DRAIN_S, SaidLeaving  # noqa: E402
 from limits import CONTACT_S, host_of_connection  # noqa: E402
 from pipelines import READ_SLACK_S, Unanswered  # noqa: E402
-from platform_standin import Leaf, Store, reply  # noqa: E402
+from platform_standin import Leaf, Store, read_body, read_head, reply  # noqa: E402
 import soak  # noqa: E402
 from soak import Node, World  # noqa: E402
 
@@ -74,6 +77,223 @@
         self.assertEqual(self.violations, [])
 
 
+class ConfigCheck(unittest.TestCase):
+    """A host in touch uses a version soon after it was acknowledged."""
+
+    def setUp(self):
+        self.violations = []
+        self.now = time.monotonic()
+        self.node = Node.__new__(Node)
+        self.node.ip, self.node.started, self.node.disturbances = "host", self.now - 60, []
+        self.world = types.SimpleNamespace(
+            runs={}, published_at_run={}, acknowledged={4: self.now - 30},
+            store_steady_since=self.now - 60,
+            report_violation=lambda promise, what: self.violations.append(promise))
+        self.world.evacuations = Evacuations(self.world)
+        self.callers = Callers(self.world)
+
+    def run_at(self, version, acknowledged_ago, published=5):
+        """Lets a request that was sent just now run after version 5 was acknowledged."""
+        self.world.acknowledged[5] = self.now - acknowledged_ago
+        self.world.runs["r"] = [(f"v{version % VERSIONS}", "leaf", "GET", "/", b"")]
+        self.world.published_at_run["r"] = published
+        self.callers.check_in_force(self.node, "r", self.now)
+        return self.violations
+
+    def test_an_older_version_is_found_once_the_newer_one_is_due(self):
+        self.assertEqual(self.run_at(4, CONFIG_APPLY_S - 0.1), [])
+        self.assertEqual(self.run_at(5, CONFIG_APPLY_S + 0.1), [])
+        self.assertEqual(self.run_at(4, CONFIG_APPLY_S + 0.1), ["config"])
+
+    def test_a_version_that_is_newer_than_the_one_due_is_allowed(self):
+        self.assertEqual(self.run_at(6, CONFIG_APPLY_S + 0.1, published=6), [])
+
+    def test_a_request_that_did_not_run_is_allowed(self):
+        self.world.acknowledged[5] = self.now - 20
+        self.callers.check_in_force(self.node, "r", self.now)
+        self.assertEqual((self.violations, self.callers.versions_checked), ([], 0))
+
+    def test_hosts_out_of_touch_are_excused_until_contact(self):
+        def restart(ago):
+            self.node.started = self.now - ago
+
+        def disturb(ago):
+            self.node.disturbances = [(self.now - 60, self.now - ago)]
+
+        def harm_store(ago):
+            self.world.store_steady_since = self.now - ago
+        for harm in (restart, disturb, harm_store):
+            self.setUp()
+            harm(CONTACT_S - 0.5)
+            self.assertEqual(self.run_at(4, 20), [], harm)
+            harm(CONTACT_S + 0.1)
+            self.assertEqual(self.run_at(4, 20), ["config"], harm)
+
+    def test_a_host_that_was_disturbed_before_the_answer_is_excused(self):
+        self.node.disturbances = [(self.now, self.now + 1)]
+        self.assertEqual(self.run_at(4, 20), [])
+
+
+class SaidLeavingCheck(unittest.TestCase):
+    """A leaf that a host has passed on to leave gets nothing that a caller sent late."""
+
+    def setUp(self):
+        self.said = SaidLeaving()
+        self.node = types.SimpleNamespace(
+            ip="host", number=1, process=types.SimpleNamespace(pid=1), pauses=[])
+
+    def late(self, sent_after, passed_on=100.0, at=None):
+        """Requests found when one is sent some time after an answer was passed on."""
+        if passed_on is not None:
+            self.said.note_answer(self.node, "signature")
+        with mock.patch("leaving.time.monotonic", lambda: at or 100.1 + sent_after):
+            self.said.note_arrival(self.node, "r")
+        return self.said.late({"signature": passed_on} if passed_on else {},
+                              {"r": 100.0 + sent_after})
+
+    def test_a_request_sent_late_is_found_and_an_early_one_is_allowed(self):
+        self.assertEqual(self.late(DRAIN_S - 0.1, at=110.0), [])
+        self.setUp()
+        self.assertEqual(len(self.late(DRAIN_S + 0.1)), 1)
+
+    def test_an_answer_that_was_not_passed_on_does_not_count(self):
+        self.said.note_answer(self.node, "signature")
+        self.assertEqual(self.late(DRAIN_S + 0.1, passed_on=None), [])
+
+    def test_other_hosts_and_new_processes_are_allowed(self):
+        self.said.note_answer(self.node, "signature")
+        self.node.process = types.SimpleNamespace(pid=2)
+        self.assertEqual(self.late(DRAIN_S + 0.1, passed_on=None), [])
+        self.said.note_arrival(None, "r")
+        self.assertEqual(self.said.late({"signature": 100.0}, {"r": 110.0}), [])
+
+    def test_only_a_pause_since_the_answer_excuses(self):
+        self.node.pauses = [(90.0, 99.0)]
+        self.assertEqual(len(self.late(DRAIN_S + 0.1)), 1)
+        self.node.pauses = [(90.0, 101.0)]
+        self.assertEqual(self.late(DRAIN_S + 0.1), [])
+
+    def test_a_leaf_that_leaves_says_so_in_all_answers(self):
+        world = types.SimpleNamespace(store=Store("127.0.0.1"), nodes=[], seed=1,
+                                      args=types.SimpleNamespace(plant=None),
+                                      record_run=lambda *run: None,
+                                      records=lambda request, service: b"records")
+        leaf = Leaf(world, "desk", "127.0.0.1", "a", random.Random(1))
+        leaf.share = 1.0
+
+        def answer(fault=None, path="/one/1", target=None):
+            sent = []
+            leaf.fault = fault
+            asyncio.run(leaf.answer(
+                ["GET", path, "HTTP/1.1"], {"x-target-instance": target or leaf.id}, b"",
+                types.SimpleNamespace(write=sent.append, get_extra_info=lambda name: ("::", 1))))
+            return sent[0]
+        kinds = [{}, {"fault": "shed"}, {"fault": "error"}, {"path": "/health"},
+                 {"target": "i-other"}]
+        with mock.patch("leaving.host_of_connection", lambda *ends: None):
+            for kind in kinds:
+                self.assertNotIn(b"Server-Leaving", answer(**kind), kind)
+            leaf.is_leaving = True
+            for kind in kinds:
+                self.assertIn(b"Server-Leaving: 1", answer(**kind), kind)
+            leaf.write_entry()
+        self.assertEqual(json.loads(world.store.items[leaf.key][0])["state"], "draining")
+
+
+class DrillCheck(unittest.TestCase):
+    """The stand-in of the store comes back from a copy as the users' pages say."""
+
+    def setUp(self):
+        self.store = Store("127.0.0.1")
+        for key in ("op/config", "servers/a", "servers/b"):
+            self.store.put_bytes(key, b"old")
+
+    def drill(self, meanwhile=lambda store: None):
+        """Plays a drill whose copy lacks what was written before the store went away."""
+        async def play():
+            await self.store.start()
+            copy = self.store.copy()
+            self.store.put_bytes("op/config", b"new")
+            self.store.put_bytes("servers/c", b"new")
+            self.store.delete("servers/b")
+            self.store.go_away()
+            with self.assertRaises(OSError):
+                await asyncio.open_connection(self.store.host, self.store.port)
+            meanwhile(self.store)
+            await self.store.come_back(copy)
+            answers = [await self.ask(path) for path in (
+                "/kv-range?prefix=op/", "/kv-watch?prefix=&after=6&waitMs=1000",
+                "/kv-watch?prefix=&after=2&waitMs=1000", "/nothing")]
+            await self.store.stop()
+            return answers
+        return asyncio.run(play())
+
+    async def ask(self, path):
+        reader, writer = await asyncio.open_connection(self.store.host, self.store.port)
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode())
+            head, headers = await read_head(reader)
+            body = await read_body(reader, headers)
+        finally:
+            writer.close()
+        return int(head[1]), headers["store-era"], json.loads(body or b"null")
+
+    def test_items_and_revisions_go_back_and_the_era_rises(self):
+        range_, beyond, known, other = self.drill()
+        self.assertEqual([one[1] for one in (range_, beyond, known, other)], ["2"] * 4)
+        self.assertEqual(range_[2]["currentRev"], 3)
+        self.assertEqual(range_[2]["items"][0]["value"], "b2xk")
+        self.assertEqual((beyond[0], known[0], other[0]), (410, 200, 404))
+        self.assertEqual([one["revision"] for one in known[2]["events"]], [3])
+
+    def test_what_was_written_since_the_copy_is_missing_until_written_again(self):
+        self.drill(lambda store: store.put_bytes("servers/d", b"while away"))
+        self.assertEqual(self.store.lost_keys("op/"), ["op/config"])
+        self.assertEqual(self.store.lost_keys("servers/"),
+                         ["servers/b", "servers/c", "servers/d"])
+        for key in self.store.lost_keys(""):
+            self.store.write_latest(key)
+        self.assertEqual(self.store.lost_keys(""), [])
+        self.assertEqual(sorted(self.store.items),
+                         ["op/config", "servers/a", "servers/c", "servers/d"])
+        self.assertEqual(self.store.revision, 7)
+
+    def test_a_watch_that_waits_is_cut(self):
+        async def play():
+            await self.store.start()
+            asking = asyncio.create_task(self.ask("/kv-watch?prefix=&after=3&waitMs=9000"))
+            while not self.store.calls:
+                await asyncio.sleep(0.01)
+            copy = self.store.copy()
+            self.store.go_away()
+            with self.assertRaises((OSError, TypeError)):
+                await asking
+            await self.store.come_back(copy)
+            await self.store.stop()
+        asyncio.run(play())
+
+    def test_copies_are_as_old_as_a_drill_needs(self):
+        drills = Drills(types.SimpleNamespace(store=self.store))
+        now = time.monotonic()
+        self.assertIsNone(drills.choose_copy(random.Random(1)))
+        drills.copies = [(now - COPY_AGE_S[0] + 0.5, "young")]
+        self.assertIsNone(drills.choose_copy(random.Random(1)))
+        drills.copies.append((now - COPY_AGE_S[0] - 0.5, "old"))
+        self.assertEqual(drills.choose_copy(random.Random(1)), "old")
+
+    def test_an_entry_changes_when_more_than_its_count_changes(self):
+        world = types.SimpleNamespace(store=self.store, args=types.SimpleNamespace(plant=None))
+        leaf = Leaf(world, "desk", "127.0.0.1", "a", random.Random(1))
+        leaf.write_entry()
+        revision = self.store.revision
+        leaf.write_entry()
+        self.assertEqual(self.store.revision, revision)
+        leaf.is_leaving = True
+        leaf.write_entry()
+        self.assertEqual(self.store.revision, revision + 1)
+        self.assertEqual(json.loads(self.store.items[leaf.key][0])["seq"], 4)
+
+
 class GroupCheck(unittest.TestCase):
     """Each request of a group that a host has read is answered, in order."""
 
