Decide in one place whether a change is followed at once

Cause: a removal of an item with a deferred change would have waited for its rest, and the test of all orders repeated the decision of the node. Change: `deferred_changes::admit`, used by the node and by the tests; only a repeated registration leaves a wait as it is.

--- a/src/node/process/deferred_changes.hpp
+++ b/src/node/process/deferred_changes.hpp
@@ -1,12 +1,15 @@
 /// Changes of items that a host does not follow at once.
 #pragma once
 
+#include "node/process/restored_items.hpp"
+#include "node/version/decoded_item.hpp"
 #include "node/version/item_cache.hpp"
 #include "process/instant.hpp"
 #include "version/ids.hpp"
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +23,13 @@
 class deferred_changes
 {
 public:
+    /// Returns whether to follow a change now; defers it if not. `known` is
+    /// what the host knows of the replica in question. See
+    /// `restored_item_wait`.
+    bool admit(const item_change& change, const decoded_item& item,
+               const std::optional<known_replica>& known,
+               milliseconds registration_timeout, instant now);
+
     /// Defers a change; replaces an earlier one of the same item, without a new
     /// wait.
     void add(const item_change& change, milliseconds wait, instant now);
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -75,7 +75,6 @@
     void reload();
     void handle_crash(const suspected_crash& crash);
     void take_change(const item_change& change);
-    void defer_change(const item_change& change, milliseconds wait);
     void apply_deferred();
     void apply_item(const item_change& change, const decoded_item& item,
                     milliseconds removal_grace);
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -84,9 +84,6 @@
 /// yet received what happened meanwhile.
 inline constexpr milliseconds max_round_delay{500};
 
-/// Beyond this number, deferred changes are counted but not logged.
-inline constexpr std::size_t max_logged_deferrals = 64;
-
 /// A host that has just started may not have discovered all others yet, so it
 /// assumes at least this many hosts for a while.
 inline constexpr milliseconds discovery_time{3'000};
@@ -429,39 +426,14 @@
 void node<Adapter>::take_change(const item_change& change)
 {
     const decoded_item item = Adapter::decode(change);
-    // What the store lost may be written again in the order of the first time.
-    if (change.restored || this->deferred.contains(change.key))
+    const auto id = replica_of(item);
+    if (this->deferred.admit(change, item,
+                             id ? this->targets.find_known(*id) : std::nullopt,
+                             this->settings.registration_timeout,
+                             to_instant(std::chrono::steady_clock::now())))
     {
-        const auto id = replica_of(item);
-        const auto wait = restored_item_wait(
-            item, id ? this->targets.find_known(*id) : std::nullopt,
-            this->settings.registration_timeout);
-        if (wait)
-        {
-            this->defer_change(change, *wait);
-            return;
-        }
-    }
-    if (!std::holds_alternative<unusable_item>(item))
-    {
-        this->deferred.drop(change.key);
-    }
-    this->apply_item(change, item, node_bounds::removal_grace);
-}
-
-template <class Adapter>
-void node<Adapter>::defer_change(const item_change& change, milliseconds wait)
-{
-    if (this->deferred.count() < node_bounds::max_logged_deferrals)
-    {
-        log_event(log_level::info, "change_deferred",
-                  {{"key", change.key},
-                   {"removed", !change.value},
-                   {"era", change.era.value},
-                   {"wait_ms", wait.count()}});
+        this->apply_item(change, item, node_bounds::removal_grace);
     }
-    this->deferred.add(change, wait,
-                       to_instant(std::chrono::steady_clock::now()));
 }
 
 // Follows the deferred changes whose items were not written again in time.
--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -156,7 +156,8 @@
     const bool era_confirmed = result.update.era >= this->latest_era;
     // A response named a later era, but the store is not in it.
     this->latest_era = std::min(this->latest_era, result.update.era);
-    co_return current&& era_confirmed;
+    const bool succeeded = current && era_confirmed;
+    co_return succeeded;
 }
 
 template <runtime Runtime, item_source Source>
--- a/src/node/process/store_view.hpp
+++ b/src/node/process/store_view.hpp
@@ -39,7 +39,7 @@
             !first && before.era != this->items.position().era;
         if (restored)
         {
-            ++this->restored;
+            ++this->restores;
         }
         if (as_of)
         {
@@ -90,7 +90,7 @@
     /// Number of times that the view followed a restored store.
     [[nodiscard]] std::uint64_t restore_count() const
     {
-        return this->restored;
+        return this->restores;
     }
 
     /// Sets the function to call, with the previous position, after the view
@@ -111,7 +111,7 @@
     std::optional<instant> confirmed_at;
     std::function<void(store_position)> advance_handler;
     std::function<void()> restore_handler;
-    std::uint64_t restored = 0;
+    std::uint64_t restores = 0;
 };
 
 } // namespace basilpath
--- a/test/following_host.hpp
+++ b/test/following_host.hpp
@@ -192,22 +192,15 @@
 
     void take_change(const item_change& change, instant now)
     {
-        this->deferred.drop(change.key);
         const decoded_item item = decode(change);
-        if (change.restored)
+        if (this->deferred.admit(change, item,
+                                 replica_of(item) ? this->find_known()
+                                                  : std::nullopt,
+                                 registration_timeout, now))
         {
-            const auto id = replica_of(item);
-            const auto wait =
-                restored_item_wait(item, id ? this->find_known() : std::nullopt,
-                                   registration_timeout);
-            if (wait)
-            {
-                this->deferred.add(change, *wait, now);
-                return;
-            }
+            this->check_followed(change, item, now);
+            this->apply_item(change, now);
         }
-        this->check_followed(change, item, now);
-        this->apply_item(change, now);
     }
 
     // Checks a change that is followed at once against what this host has seen,
--- a/test/restored_store_test.cpp
+++ b/test/restored_store_test.cpp
@@ -281,6 +281,38 @@
                              registration_timeout) > registration_timeout);
 }
 
+// Guards against a leaving replica that is used again while what the store lost
+// is written once more, in the old order.
+TEST_CASE("a repeated registration does not end the wait of its item")
+{
+    const known_replica leaving{registered(1'000, 15, true), true};
+    deferred_changes deferred;
+    const auto admit = [&](const decoded_item& item, bool restored, instant now)
+    {
+        item_change change{"servers/i-1", "", 5};
+        change.restored = restored;
+        return deferred.admit(change, item, leaving, registration_timeout, now);
+    };
+    CHECK_FALSE(admit(registered(1'000, 10, false), true, instant(0s)));
+    CHECK_FALSE(admit(registered(1'000, 12, false), false, instant(1s)));
+    CHECK(deferred.take_due(instant(4s)).empty());
+    SECTION("a value that cannot be used changes nothing")
+    {
+        CHECK(admit(unusable_item{"odd"}, false, instant(2s)));
+        CHECK(deferred.count() == 1);
+    }
+    SECTION("its last registration ends it")
+    {
+        CHECK(admit(registered(1'000, 16, true), false, instant(2s)));
+        CHECK(deferred.count() == 0);
+    }
+    SECTION("its removal is followed at once")
+    {
+        CHECK(admit(replica_removed{leaf_id("i-1")}, false, instant(2s)));
+        CHECK(deferred.count() == 0);
+    }
+}
+
 TEST_CASE("a replica that the copy lacks is used until it is due again")
 {
     const replica known = registered(1'000, 15, false);
