--- a/test/leaving_answer_test.cpp
+++ b/test/leaving_answer_test.cpp
@@ -258,6 +258,7 @@
     }
     node.next = failure_with(status, more + says_leaving);
     CHECK(node.call("one") == call_end::answered);
+    CHECK(node.pool.leaving_replica_count() == 1);
     CHECK(node.spared());
 }
 
