Soak: a leaf that leaves while the store does not serve waits with its entry

Cause: a leaf's entry was accepted by a store that was silent, reset connections or was busy, so its Server-Leaving was seldom all that hosts had. Change: it says so at once and writes its entry when the store serves, at its own time.

--- a/soak/drills.py
+++ b/soak/drills.py
@@ -63,8 +63,9 @@
 
     async def leaf_can_write(self):
         """Waits until a leaf's entry is accepted: at the leaf's own time after an outage."""
-        while self.world.store.is_away:
-            while self.world.store.is_away:
+        store = self.world.store
+        while not store.serves:
+            while not store.serves:
                 await asyncio.sleep(POLL_S)
             await asyncio.sleep(self.world.rng.uniform(0.0, LEAF_WRITES_S))
 
--- a/soak/platform_standin.py
+++ b/soak/platform_standin.py
@@ -157,6 +157,10 @@
         self.oldest = self.revision
         self._wake()
 
+    @property
+    def serves(self):
+        return not self.is_away and self.mode == "up"
+
     def copy(self):
         """A copy of the store as it is now."""
         return dict(self.items), list(self.log), self.revision, self.oldest
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -281,6 +281,19 @@
         drills.copies.append((now - COPY_AGE_S[0] - 0.5, "old"))
         self.assertEqual(drills.choose_copy(random.Random(1)), "old")
 
+    def test_a_leaf_waits_for_a_store_that_does_not_serve(self):
+        async def play(**state):
+            vars(self.store).update(state)
+            waiting = asyncio.create_task(drills.leaf_can_write())
+            await asyncio.sleep(0.1)
+            self.assertEqual(waiting.done(), self.store.serves, state)
+            vars(self.store).update(mode="up", is_away=False)
+            await waiting
+        drills = Drills(types.SimpleNamespace(
+            store=self.store, rng=types.SimpleNamespace(uniform=lambda low, high: 0.0)))
+        for state in ({}, {"is_away": True}, {"mode": "busy"}, {"mode": "silent"}):
+            asyncio.run(play(**state))
+
     def test_an_entry_changes_when_more_than_its_count_changes(self):
         world = types.SimpleNamespace(store=self.store, args=types.SimpleNamespace(plant=None))
         leaf = Leaf(world, "desk", "127.0.0.1", "a", random.Random(1))
