Do not pass on a failure that promises that an order has not run

Evidence: for each of the two requests the record has a run, the answer 503 with the leaf's body and a second run; the node's log has call_failed and outcome=replica_failed with status 503.

Change: such a request ends as `contradicted` and is answered 502 by the host, without the leaf's headers, as its signature is bound to its status.

Test: "a failure after the run promises nothing for an order", 8 of 8 variants failed with the rule taken out, all pass with it.

--- a/src/node/process/forward_policy.hpp
+++ b/src/node/process/forward_policy.hpp
@@ -36,4 +36,12 @@
 [[nodiscard]] forward_plan plan_forward(const route& rule,
                                         const forward_times& times);
 
+/// Returns whether a status states to the caller that its request has not run
+/// and will not: Request Timeout, Misdirected Request, Too Many Requests and
+/// Service Unavailable.
+[[nodiscard]] constexpr bool states_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace basilpath
--- a/src/node/process/query_service.ipp
+++ b/src/node/process/query_service.ipp
@@ -189,6 +189,9 @@
                                                 : "no_replica_could_run_it");
     case forward_end::caller_left:
         co_return this->refuse(*state, 504, "caller_left");
+    case forward_end::contradicted:
+        // Without the signature of the replica, which is bound to its status.
+        co_return this->refuse(*state, 502, "replica_failed_may_have_run");
     case forward_end::may_have_run:
         break;
     }
--- a/src/node/request/forward_session.hpp
+++ b/src/node/request/forward_session.hpp
@@ -22,10 +22,12 @@
 /// How a forwarded request ended.
 enum class forward_end : std::uint8_t
 {
-    answered,    ///< a replica answered, perhaps with a failure
-    caller_left, ///< the caller closed its connection
-    not_run,     ///< no replica has run the request or will
-    may_have_run ///< it was sent, and no whole answer arrived
+    answered,     ///< a replica answered, perhaps with a failure
+    caller_left,  ///< the caller closed its connection
+    not_run,      ///< no replica has run the request or will
+    may_have_run, ///< it was sent, and no whole answer arrived
+    contradicted  ///< a replica that may have run it answered with a status
+                  ///< that states that it has not
 };
 
 struct forward_result
@@ -76,6 +78,7 @@
     [[nodiscard]] bool is_repeat() const;
     void cancel_unsent();
     [[nodiscard]] bool crashes() const;
+    [[nodiscard]] bool contradicts_run(const target_reply& reply) const;
     [[nodiscard]] std::optional<forward_result> take(call_event event);
     [[nodiscard]] forward_result conclude(forward_end end);
     [[nodiscard]] instant now() const;
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -230,6 +230,10 @@
     const bool own_answer = answered && ran && !result.reply.unattributed;
     const bool final_answer =
         own_answer && (result.reply.success() || !this->rule.idempotent);
+    if (final_answer && this->contradicts_run(result.reply))
+    {
+        return this->conclude(forward_end::contradicted);
+    }
     if (final_answer)
     {
         this->failure = std::move(result.reply);
@@ -258,6 +262,15 @@
                                              : forward_end::not_run);
 }
 
+// Returns whether an answer must not be passed on, since its caller would send
+// the request again, which then runs twice.
+template <runtime Runtime, target_transport Transport>
+bool forward_session<Runtime, Transport>::contradicts_run(
+    const target_reply& reply) const
+{
+    return !this->rule.idempotent && states_not_run(reply.status);
+}
+
 // Returns whether the request is quarantined because it crashes replicas.
 template <runtime Runtime, target_transport Transport>
 bool forward_session<Runtime, Transport>::crashes() const
@@ -269,7 +282,9 @@
 template <runtime Runtime, target_transport Transport>
 forward_result forward_session<Runtime, Transport>::conclude(forward_end end)
 {
-    if (this->any_broken && end == forward_end::answered)
+    const bool answered =
+        end == forward_end::answered || end == forward_end::contradicted;
+    if (this->any_broken && answered)
     {
         this->shared.crashes.note_served(fingerprint_of(*this->query));
     }
--- a/test/node_forward_test.cpp
+++ b/test/node_forward_test.cpp
@@ -73,6 +73,61 @@
     CHECK(node.replies[0].status == 504);
 }
 
+/// A failure of a replica as it arrives, with the headers to pass on.
+target_script signed_failure(unsigned status)
+{
+    target_script script = failure(status);
+    script.result.reply.headers = {{"X-Response-Signature", "sig-failure"}};
+    return script;
+}
+
+// Guards against an order that runs twice: a replica that had run it answered
+// 503, which promises the caller that it had not.
+TEST_CASE("a failure after the run promises nothing for an order")
+{
+    const unsigned status = GENERATE(408U, 421U, 429U, 503U);
+    const bool shed_first = GENERATE(false, true);
+    node_session_fixture node;
+    node.targets.behave =
+        [status, shed_first](const target_call&, std::size_t sent)
+    {
+        return shed_first && sent == 0 ? shed() : signed_failure(status);
+    };
+    node.start("/order/x");
+    node.run.run_until(4s);
+    CHECK(node.targets.sent == (shed_first ? 2 : 1));
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 502);
+    // A signature would state that the replica had answered 502.
+    CHECK(node.replies[0].headers.empty());
+    CHECK(node.replies[0].body != "failure");
+}
+
+TEST_CASE("other failures of a replica are passed on unchanged")
+{
+    const auto [target, status] = GENERATE(table<std::string, unsigned>(
+        {{"/order/x", 400},
+         {"/order/x", 409},
+         {"/order/x", 500},
+         {"/order/x", 502},
+         {"/order/x", 504},
+         // May be repeated, so that no promise is needed.
+         {"/one/x", 408},
+         {"/one/x", 429},
+         {"/one/x", 503}}));
+    node_session_fixture node;
+    node.targets.behave = [status = status](const target_call&, std::size_t)
+    {
+        return signed_failure(status);
+    };
+    node.start(target);
+    node.run.run_until(4s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == status);
+    CHECK(node.replies[0].headers.size() == 1);
+    CHECK(node.replies[0].body == "failure");
+}
+
 TEST_CASE("a non-idempotent request is retried after a not-executed answer")
 {
     node_session_fixture node;
