Count a crash whether or not a session still waits for the call

Cause: sessions reported broken calls, so a call that broke after its session had given it up was known to the pool alone, which did not look whether the replica still listens. In a query of which one call hangs the refused connections were too old at its end to count.

Change: target_pool reports abandoned calls that break, unless the request was answered, and checks the replica. crash_detector compares the times of a call and of a refused connection, and keeps refusals for a minute. The end of a replica that has said that it leaves, or is off the list, is no crash. An answer clears its request, so that given-up calls of popular requests do not add up.

--- a/src/node/connection/target_connection.hpp
+++ b/src/node/connection/target_connection.hpp
@@ -56,6 +56,13 @@
     /// as `call_end::unsent` when none of its bytes can have left.
     void close();
 
+    /// Returns whether this host closed the connection while it carried a call
+    /// that its session had abandoned.
+    [[nodiscard]] bool closed_abandoned_call() const
+    {
+        return this->abandoned_at_close;
+    }
+
     /// Returns whether the connection is established, carries no call and may
     /// carry another one.
     [[nodiscard]] bool idle() const
@@ -117,6 +124,7 @@
                           std::size_t undelivered) const;
     void complete(target_result result);
     void start_parser();
+    void close_socket();
     static instant now();
 
     boost::asio::ip::tcp::socket socket;
@@ -146,6 +154,8 @@
     /// Whether sending failed before a byte of the request had left.
     bool nothing_sent = false;
 
+    bool abandoned_at_close = false;
+
     /// Whether the connection must not carry another call.
     bool must_close = false;
 
--- a/src/node/connection/target_connection.ipp
+++ b/src/node/connection/target_connection.ipp
@@ -71,7 +71,7 @@
         this->handlers.ready(self);
         co_await this->read();
     }
-    this->close();
+    this->close_socket();
     if (this->call)
     {
         this->complete(
@@ -111,13 +111,21 @@
             if (error)
             {
                 self->nothing_sent = written == 0;
-                self->close();
+                self->close_socket();
             }
         });
 }
 
 template <target_codec Codec>
 void target_connection<Codec>::close()
+{
+    this->abandoned_at_close =
+        this->abandoned_at_close || (this->call && this->call->abandoned);
+    this->close_socket();
+}
+
+template <target_codec Codec>
+void target_connection<Codec>::close_socket()
 {
     boost::system::error_code ignored;
     this->socket.close(ignored);
--- a/src/node/process/crash_detector.cpp
+++ b/src/node/process/crash_detector.cpp
@@ -1,5 +1,6 @@
 #include "node/process/crash_detector.hpp"
 
+#include "node/request/broken_call.hpp"
 #include "node/request/caller_query.hpp"
 
 #include <xxhash.h>
@@ -26,6 +27,12 @@
 
 constexpr std::size_t broken_call_limit = 1'000;
 
+// How long a refused connection is kept: longer than a query may last.
+constexpr microseconds refusal_retention = 60s;
+
+// Refused connections to one replica that are closer together are kept as one.
+constexpr microseconds refusal_interval = 100ms;
+
 // A quarantine that ends sooner is not adopted. Hosts would pass it back and
 // forth, each a little longer by the delay of the message.
 constexpr microseconds min_adopted_time = 2s;
@@ -52,20 +59,20 @@
 }
 
 void crash_detector::note_broken(fingerprint request_fingerprint,
-                                 const leaf_id& replica, instant now)
+                                 const broken_call& call, instant now)
 {
-    const auto down = this->down_at.find(replica);
-    if (down != this->down_at.end() && now - down->second < crash_window)
+    const suspected_crash crash{request_fingerprint, call.replica, call.at};
+    if (this->refused_near(call.replica, call.at))
     {
-        this->add_suspected_crash({request_fingerprint, replica, now});
+        this->add_suspected_crash(crash);
         return;
     }
-    this->broken.push_back({request_fingerprint, replica, now});
-    this->expire_before(now - crash_window);
+    this->broken.push_back(crash);
+    this->expire(now);
 }
 
 void crash_detector::note_end(const caller_query& query, bool answered,
-                              std::span<const leaf_id> broken, instant now)
+                              std::span<const broken_call> broken, instant now)
 {
     if (broken.empty())
     {
@@ -77,7 +84,7 @@
         this->note_served(request_fingerprint);
         return;
     }
-    for (const leaf_id& one : broken)
+    for (const broken_call& one : broken)
     {
         this->note_broken(request_fingerprint, one, now);
     }
@@ -85,25 +92,35 @@
 
 void crash_detector::note_answered(const caller_query& query)
 {
-    if (!this->periods.empty())
+    const bool any_suspect = !this->periods.empty() || !this->broken.empty() ||
+                             !this->suspected_crashes.empty();
+    if (any_suspect)
     {
-        this->periods.erase(fingerprint_of(query));
+        this->note_served(fingerprint_of(query));
     }
 }
 
 void crash_detector::note_down(const leaf_id& replica, instant now)
 {
-    this->expire_before(now - crash_window);
-    this->down_at[replica] = now;
-    std::deque<suspected_crash> found;
-    std::ranges::copy_if(this->broken, std::back_inserter(found),
-                         [&replica](const suspected_crash& one)
-                         { return one.replica == replica; });
-    std::erase_if(this->broken, [&replica](const suspected_crash& one)
-                  { return one.replica == replica; });
+    this->expire(now);
+    this->expire_refusals(now);
+    std::deque<instant>& refused_at = this->refusals[replica];
+    if (refused_at.empty() || now - refused_at.back() >= refusal_interval)
+    {
+        refused_at.push_back(now);
+    }
+    const auto begin_of_found = std::ranges::stable_partition(
+        this->broken, [&replica](const suspected_crash& one)
+        { return one.replica != replica; });
+    const std::deque<suspected_crash> found(begin_of_found.begin(),
+                                            begin_of_found.end());
+    this->broken.erase(begin_of_found.begin(), begin_of_found.end());
     for (const suspected_crash& one : found)
     {
-        this->add_suspected_crash(one);
+        if (now - one.at <= crash_window)
+        {
+            this->add_suspected_crash(one);
+        }
     }
 }
 
@@ -209,19 +226,40 @@
     }
 }
 
-void crash_detector::expire_before(instant time)
+// Returns whether a replica refused a connection within `crash_window` of a
+// time.
+bool crash_detector::refused_near(const leaf_id& replica, instant at) const
 {
-    std::erase_if(this->broken,
-                  [time](const suspected_crash& one) { return one.at < time; });
-    if (this->broken.size() > broken_call_limit)
+    const auto found = this->refusals.find(replica);
+    return found != this->refusals.end() &&
+           std::ranges::any_of(
+               found->second, [at](instant refused)
+               { return std::chrono::abs(refused - at) < crash_window; });
+}
+
+void crash_detector::expire(instant now)
+{
+    while (!this->broken.empty() &&
+           (now - this->broken.front().at > crash_window ||
+            this->broken.size() > broken_call_limit))
     {
         this->broken.pop_front();
     }
-    std::erase_if(this->down_at,
-                  [time](const auto& one) { return one.second < time; });
-    const instant oldest = time - suspected_crash_retention;
+    const instant oldest = now - suspected_crash_retention;
     std::erase_if(this->suspected_crashes, [oldest](const suspected_crash& one)
                   { return one.at < oldest; });
 }
 
+void crash_detector::expire_refusals(instant now)
+{
+    const instant oldest = now - refusal_retention;
+    for (auto& [replica, refused_at] : this->refusals)
+    {
+        std::erase_if(refused_at,
+                      [oldest](instant one) { return one < oldest; });
+    }
+    std::erase_if(this->refusals,
+                  [](const auto& one) { return one.second.empty(); });
+}
+
 } // namespace basilpath
--- a/src/node/process/crash_detector.hpp
+++ b/src/node/process/crash_detector.hpp
@@ -16,6 +16,7 @@
 namespace basilpath
 {
 
+struct broken_call;
 struct caller_query;
 
 /// A broken call and a refused connection this close together are one crash,
@@ -49,13 +50,13 @@
     explicit crash_detector(listener on_suspected_crash);
 
     /// Records that a call broke; it may or may not have crashed its replica.
-    void note_broken(fingerprint request_fingerprint, const leaf_id& replica,
+    void note_broken(fingerprint request_fingerprint, const broken_call& call,
                      instant now);
 
     /// Records the end of a request. `answered` means that some replica
-    /// answered it, `broken` lists the replicas whose calls broke.
+    /// answered it, `broken` lists the calls that broke.
     void note_end(const caller_query& query, bool answered,
-                  std::span<const leaf_id> broken, instant now);
+                  std::span<const broken_call> broken, instant now);
 
     /// Records that a request was answered, whether or not a call broke before.
     void note_answered(const caller_query& query);
@@ -101,7 +102,9 @@
                          microseconds remaining, instant now);
     void quarantine_again(fingerprint request_fingerprint,
                           quarantine_period& last, instant now);
-    void expire_before(instant time);
+    [[nodiscard]] bool refused_near(const leaf_id& replica, instant at) const;
+    void expire(instant now);
+    void expire_refusals(instant now);
 
     listener on_suspected_crash;
     quarantine_table table;
@@ -109,7 +112,10 @@
     /// Calls that broke within `crash_window` and whose replica has not refused
     /// a connection since.
     std::deque<suspected_crash> broken;
-    std::map<leaf_id, instant> down_at;
+
+    /// When replicas refused connections. Kept longer than `broken`, since the
+    /// calls of a query are judged at its end.
+    std::map<leaf_id, std::deque<instant>> refusals;
     std::deque<suspected_crash> suspected_crashes;
 
     /// Requests that were in quarantine and that no replica has answered since.
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -170,6 +170,12 @@
         this->settings.replica_drain_timeout);
     this->targets.on_connect_failed([this](const leaf_id& one, instant now)
                                     { this->crashes.note_down(one, now); });
+    this->targets.on_abandoned_call_broken(
+        [this](const target_call& call, instant now)
+        {
+            this->crashes.note_broken(fingerprint_of(*call.query),
+                                      {call.to, now}, now);
+        });
     this->view.on_restore(
         [this] {
             this->deferred.restart(
--- a/src/node/process/replica_entry.hpp
+++ b/src/node/process/replica_entry.hpp
@@ -92,6 +92,13 @@
         return last;
     }
 
+    /// Returns whether the replica has said that it leaves, or is off the list:
+    /// its end is no crash.
+    [[nodiscard]] bool announced_end() const
+    {
+        return this->target.leaving || this->notice.given() || this->delisted;
+    }
+
     /// Returns whether nothing may be sent to the replica.
     [[nodiscard]] bool closed_to_requests(instant now) const
     {
--- a/src/node/process/target_pool.hpp
+++ b/src/node/process/target_pool.hpp
@@ -51,13 +51,22 @@
         std::shared_ptr<memory_budget> memory =
             std::make_shared<memory_budget>(memory_budget::default_bound));
 
-    /// Sets the callback for failed attempts to connect to a replica.
+    /// Sets the callback for failed attempts to connect to a replica that has
+    /// not said that it leaves.
     void on_connect_failed(
         const std::function<void(const leaf_id&, instant)>& callback)
     {
         this->connect_failed_callback = callback;
     }
 
+    /// Sets the callback for calls that were sent and got no whole answer after
+    /// their sessions had abandoned them, unless their request was answered.
+    void on_abandoned_call_broken(
+        const std::function<void(const target_call&, instant)>& callback)
+    {
+        this->abandoned_broken_callback = callback;
+    }
+
     /// Starts the periodic check of connections and of replicas that are down.
     void start();
 
@@ -219,6 +228,8 @@
                    target_result result);
     void note_failure(const entry_pointer& one,
                       const std::shared_ptr<target_call>& call, instant time);
+    void note_abandoned_broken(const entry_pointer& one,
+                               const target_call& call, instant time);
     void note_leaving(const entry_pointer& one, const target_reply& reply,
                       instant time);
     void sweep_leaving(const entry_pointer& one, instant time);
@@ -270,6 +281,7 @@
     sharing_hosts hosts;
     std::size_t local_host_count = 1;
     std::function<void(const leaf_id&, instant)> connect_failed_callback;
+    std::function<void(const target_call&, instant)> abandoned_broken_callback;
 };
 
 } // namespace basilpath
--- a/src/node/process/target_pool.ipp
+++ b/src/node/process/target_pool.ipp
@@ -462,6 +462,7 @@
         const bool missed_deadline = overdue && time >= call->deadline;
         one->health.on_cancelled(time,
                                  one->health.silent(time) || missed_deadline);
+        this->note_abandoned_broken(one, *call, time);
     }
     else
     {
@@ -476,6 +477,24 @@
     }
 }
 
+// Records a call that broke when nobody waited for it. It may have crashed its
+// replica all the same, unless its request was answered.
+template <target_codec Codec>
+void target_pool<Codec>::note_abandoned_broken(const entry_pointer& one,
+                                               const target_call& call,
+                                               instant time)
+{
+    if (call.request_answered)
+    {
+        return;
+    }
+    one->connect_check_until = time + crash_window;
+    if (this->abandoned_broken_callback)
+    {
+        this->abandoned_broken_callback(call, time);
+    }
+}
+
 // Logs a change of belief after a call. Calls that wait for a replica that was
 // left are returned to their sessions, since it would not answer them.
 template <target_codec Codec>
@@ -516,7 +535,7 @@
     {
         const bool was_down = one->health.down();
         one->health.on_connect_failed(now());
-        if (this->connect_failed_callback)
+        if (this->connect_failed_callback && !one->announced_end())
         {
             this->connect_failed_callback(one->target.id, now());
         }
@@ -534,7 +553,9 @@
         return;
     }
     this->dispatch(one);
-    if (one->connections.empty() && now() < one->connect_check_until)
+    // A replica whose call this host has given up runs on.
+    if (one->connections.empty() && now() < one->connect_check_until &&
+        !ended->closed_abandoned_call())
     {
         // A failed attempt to connect reveals at once that the replica has
         // crashed.
--- a/src/node/request/forward_session.ipp
+++ b/src/node/request/forward_session.ipp
@@ -1,5 +1,7 @@
 #include "node/request/forward_session.hpp"
 
+#include "node/request/broken_call.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -225,7 +227,8 @@
     {
         this->any_broken = true;
         this->shared.crashes.note_broken(fingerprint_of(*this->query),
-                                         event.call->to, this->now());
+                                         {event.call->to, this->now()},
+                                         this->now());
     }
     const bool own_answer = answered && ran && !result.reply.unattributed;
     const bool final_answer =
@@ -290,6 +293,7 @@
     }
     for (const auto& call : this->calls)
     {
+        call->request_answered = answered;
         this->shared.targets.abandon(call, forward_bounds::abandon_grace);
     }
     this->calls.clear();
--- a/src/node/request/gather_progress.hpp
+++ b/src/node/request/gather_progress.hpp
@@ -1,6 +1,7 @@
 /// Progress of a query over shards, and the decisions that depend on it.
 #pragma once
 
+#include "node/request/broken_call.hpp"
 #include "node/request/gather_shard.hpp"
 #include "node/version/route.hpp"
 
@@ -43,6 +44,12 @@
         return this->needed_parts;
     }
 
+    /// Returns whether the part of any shard has arrived.
+    [[nodiscard]] bool any_part() const
+    {
+        return this->parts > 0;
+    }
+
     /// Returns whether the parts that have arrived reach the coverage.
     [[nodiscard]] bool enough() const
     {
@@ -87,13 +94,12 @@
     void add_part(gather_shard& one, target_reply reply);
 
     /// Records a broken call of any shard.
-    void note_broken(const leaf_id& replica)
+    void note_broken(const leaf_id& replica, instant now)
     {
-        this->broken_calls.push_back(replica);
+        this->broken_calls.push_back({replica, now});
     }
 
-    /// Replicas whose calls broke.
-    [[nodiscard]] const std::vector<leaf_id>& broken() const
+    [[nodiscard]] const std::vector<broken_call>& broken() const
     {
         return this->broken_calls;
     }
@@ -112,7 +118,7 @@
     std::size_t max_sends;
     std::size_t parts = 0;
     std::size_t failures = 0;
-    std::vector<leaf_id> broken_calls;
+    std::vector<broken_call> broken_calls;
 };
 
 } // namespace basilpath
--- a/src/node/request/gather_session.ipp
+++ b/src/node/request/gather_session.ipp
@@ -332,7 +332,7 @@
         }
         if (event.result.end == call_end::broken && event.call)
         {
-            this->progress.note_broken(event.call->to);
+            this->progress.note_broken(event.call->to, this->now());
         }
     }
     if (shard.part)
@@ -444,6 +444,7 @@
         // waited for a connection.
         shard.sent_at =
             shard.sent_at.value_or(call->on_wire ? call->sent : this->now());
+        call->request_answered = this->progress.any_part();
         this->shared.targets.abandon(call, gather_bounds::abandon_grace);
     }
     shard.calls.clear();
@@ -462,9 +463,8 @@
     {
         this->shared.delegates.cancel(number);
     }
-    this->shared.crashes.note_end(
-        *this->query, this->progress.missing() < this->progress.all().size(),
-        this->progress.broken(), this->now());
+    this->shared.crashes.note_end(*this->query, this->progress.any_part(),
+                                  this->progress.broken(), this->now());
     result.end = end;
     result.limited = this->limited;
     result.evacuated = this->evacuated;
--- a/src/node/request/gather_session_remote.ipp
+++ b/src/node/request/gather_session_remote.ipp
@@ -244,7 +244,7 @@
     }
     if (absent.why == missing_reason::broken)
     {
-        this->progress.note_broken(absent.replica);
+        this->progress.note_broken(absent.replica, this->now());
     }
     if (!shard.part)
     {
--- a/src/node/request/subquery_session.hpp
+++ b/src/node/request/subquery_session.hpp
@@ -1,6 +1,7 @@
 /// Runs a subquery for another host.
 #pragma once
 
+#include "node/request/broken_call.hpp"
 #include "node/request/request_services.hpp"
 #include "node/request/subquery.hpp"
 #include "node/request/target_call.hpp"
@@ -85,7 +86,7 @@
     /// The greatest records reported so far.
     std::string reported_records;
 
-    std::vector<leaf_id> broken;
+    std::vector<broken_call> broken;
     bool answered = false;
 
     /// Whether a call has left this host, so that a replica may have run it.
--- a/src/node/request/subquery_session.ipp
+++ b/src/node/request/subquery_session.ipp
@@ -78,6 +78,8 @@
     if (found != this->open.end())
     {
         this->sent = this->sent || found->call->on_wire;
+        // The part has arrived through another call.
+        found->call->request_answered = true;
         this->shared.targets.abandon(found->call, milliseconds(0));
         this->open.erase(found);
         this->events.wake();
@@ -177,7 +179,7 @@
         this->report_failure(shard, missing_reason::not_sent, replica);
         return;
     case decision::broken:
-        this->broken.push_back(replica);
+        this->broken.push_back({replica, this->now()});
         this->report_failure(shard, missing_reason::broken, replica);
         return;
     default:
@@ -248,6 +250,7 @@
 {
     for (const open_shard& one : this->open)
     {
+        one.call->request_answered = this->answered;
         this->shared.targets.abandon(one.call, milliseconds(0));
     }
     this->open.clear();
--- a/src/node/request/target_call.hpp
+++ b/src/node/request/target_call.hpp
@@ -158,6 +158,10 @@
     bool trial = false;
     bool abandoned = false;
 
+    /// Whether a replica had answered the request when the session abandoned
+    /// this call: a request that crashes replicas is never answered.
+    bool request_answered = false;
+
     /// When the connection of an abandoned call is closed.
     instant connection_close_at{};
 };
--- a/test/node_crash_test.cpp
+++ b/test/node_crash_test.cpp
@@ -221,21 +221,24 @@
     CHECK(node.suspected_crashes.empty());
 }
 
+// A call breaks, and its replica refuses a connection.
+void note_crash(crash_detector& crashes, fingerprint request,
+                const std::string& replica)
+{
+    const instant now = scripted_targets::now();
+    crashes.note_broken(request, {leaf_id(replica), now}, now);
+    crashes.note_down(leaf_id(replica), now);
+}
+
 TEST_CASE("an answer clears a request of its crashes")
 {
     node_session_fixture node;
     const fingerprint request_fingerprint(77);
-    node.crashes.note_broken(request_fingerprint, leaf_id("a"),
-                             scripted_targets::now());
-    node.crashes.note_down(leaf_id("a"), scripted_targets::now());
-    node.crashes.note_broken(request_fingerprint, leaf_id("b"),
-                             scripted_targets::now());
-    node.crashes.note_down(leaf_id("b"), scripted_targets::now());
+    note_crash(node.crashes, request_fingerprint, "a");
+    note_crash(node.crashes, request_fingerprint, "b");
     REQUIRE(node.suspected_crashes.size() == 2);
     node.crashes.note_served(request_fingerprint);
-    node.crashes.note_broken(request_fingerprint, leaf_id("c"),
-                             scripted_targets::now());
-    node.crashes.note_down(leaf_id("c"), scripted_targets::now());
+    note_crash(node.crashes, request_fingerprint, "c");
     CHECK_FALSE(
         node.crashes.quarantined(request_fingerprint, scripted_targets::now()));
 }
@@ -257,4 +260,126 @@
     CHECK(node.replies.at(0).status == 200);
 }
 
+// Guards against a query that crashes replicas and is never quarantined, as one
+// of its calls hangs: the crashes were more than a second old at its end.
+TEST_CASE("crashes in a query of which one call hangs are counted")
+{
+    node_session_fixture node(4, 0.25);
+    node.targets.behave = [&node](const target_call& call, std::size_t)
+    {
+        if (call.to.value.starts_with("s0"))
+        {
+            return good_answer(call.to.value, 10s);
+        }
+        node.crashes.note_down(call.to, scripted_targets::now());
+        return lost(call_end::broken);
+    };
+    node.start("/all/x");
+    node.run.run_until(3s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.answered_at[0] > 1s);
+    CHECK(node.suspected_crashes.size() >= 3);
+    const std::size_t sent = node.targets.sent;
+    node.start("/all/x");
+    node.run.run_until(6s);
+    CHECK(node.targets.sent == sent);
+    CHECK(node.replies.back().status == 502);
+}
+
+TEST_CASE("a connection that was refused long after a call broke is no crash")
+{
+    crash_detector crashes([](const suspected_crash&) {});
+    const fingerprint request(5);
+    const instant begin = scripted_targets::now();
+    for (const char* const id : {"a", "b", "c"})
+    {
+        crashes.note_broken(request, {leaf_id(id), begin}, begin);
+        crashes.note_down(leaf_id(id), begin + crash_window + 1ms);
+        // The same at the end of a long query.
+        crashes.note_broken(request, {leaf_id(id), begin}, begin + 5s);
+    }
+    CHECK_FALSE(crashes.quarantined(request, begin + 5s));
+}
+
+// The answers show that the request crashes no replica, whoever else ended.
+TEST_CASE("an answered request is cleared of the crashes of abandoned calls")
+{
+    node_session_fixture node;
+    caller_query query;
+    query.method = "GET";
+    query.host = "h";
+    query.target = "/one/x";
+    const fingerprint request = fingerprint_of(query);
+    for (const char* const id : {"a", "b", "c"})
+    {
+        note_crash(node.crashes, request, id);
+        node.start("/one/x");
+        node.run.run_until(scripted_targets::now() - instant{} + 1s);
+        CHECK(node.replies.back().status == 200);
+    }
+    CHECK_FALSE(node.crashes.quarantined(request, scripted_targets::now()));
+}
+
+/// How a session ceases to wait for a call that is in progress.
+enum class departure : std::uint8_t
+{
+    caller_left,
+    deadline_passed,
+    host_stops
+};
+
+// Guards against a crash that counts for nothing as nobody waits any more.
+TEST_CASE("an abandoned call of a request without an answer is suspect")
+{
+    const std::string target = GENERATE("/one/x", "/order/x", "/all/x");
+    const departure by =
+        GENERATE(departure::caller_left, departure::deadline_passed,
+                 departure::host_stops);
+    node_session_fixture node;
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, 10s);
+    };
+    node.start(target);
+    node.run.run_until(400ms);
+    if (by == departure::caller_left)
+    {
+        node.caller->notify_disconnect();
+    }
+    else if (by == departure::host_stops)
+    {
+        const instant now = scripted_targets::now();
+        node.shared.shutdown.set(now, now);
+    }
+    node.run.run_until(3s);
+    REQUIRE(node.replies.size() == 1);
+    REQUIRE_FALSE(node.targets.abandoned.empty());
+    for (const auto& call : node.targets.abandoned)
+    {
+        CHECK_FALSE(call->request_answered);
+    }
+}
+
+TEST_CASE("an abandoned call is not suspect once a replica has answered")
+{
+    const std::string target = GENERATE("/one/x", "/all/x");
+    node_session_fixture node;
+    // The first call of each service hangs; its hedge is answered.
+    node.targets.behave = [](const target_call& call, std::size_t)
+    {
+        return good_answer(call.to.value, call.purpose == call_purpose::first
+                                              ? microseconds(10s)
+                                              : 5ms);
+    };
+    node.start(target);
+    node.run.run_until(3s);
+    REQUIRE(node.replies.size() == 1);
+    CHECK(node.replies[0].status == 200);
+    REQUIRE_FALSE(node.targets.abandoned.empty());
+    for (const auto& call : node.targets.abandoned)
+    {
+        CHECK(call->request_answered);
+    }
+}
+
 } // namespace
--- a/test/node_subquery_test.cpp
+++ b/test/node_subquery_test.cpp
@@ -214,6 +214,27 @@
     CHECK(hosts.subqueries.busy_count() == 0);
 }
 
+// Guards against a query that crashes replicas behind the end of its caller.
+TEST_CASE("the calls that a delegate abandons are suspect without any part")
+{
+    const bool any_part = GENERATE(false, true);
+    linked_hosts hosts;
+    hosts.behave(
+        [any_part](const target_call& call, std::size_t)
+        {
+            const bool answered = any_part && call.to.value == "s0-b";
+            return good_answer(call.to.value,
+                               answered ? milliseconds(1) : 400ms);
+        });
+    hosts.start("/all/x");
+    hosts.run.run_until(10ms);
+    hosts.caller->notify_disconnect();
+    hosts.run.run_until(20ms);
+    CHECK(hosts.far.abandoned.size() == (any_part ? 5 : 6));
+    CHECK(std::ranges::all_of(hosts.far.abandoned, [any_part](const auto& call)
+                              { return call->request_answered == any_part; }));
+}
+
 TEST_CASE("a call of the delegate to a paused replica is hedged in time")
 {
     linked_hosts hosts;
--- a/test/scripted_targets.hpp
+++ b/test/scripted_targets.hpp
@@ -136,6 +136,7 @@
         call->abandoned = true;
         call->done = nullptr;
         this->record.add("give up " + call->to.value);
+        this->abandoned.push_back(call);
     }
 
     void note_unplaced(const service_name&) {}
@@ -190,6 +191,7 @@
     };
     route_latency usual{10ms, 20ms};
     std::size_t sent = 0;
+    std::vector<std::shared_ptr<target_call>> abandoned;
 
     /// Whether the replicas have no slots to spare.
     bool scarce = false;
