Let readers that lose the store say so, so that others read at once

Cause: a host that cannot reach the store kept its place in the order of readers. The others took over only by the age of the view, 2.4 s and 0.25 s for each host before them, anew after each read.

Evidence: in the log the readers say store_lost within 0.2 s; reading_begun of the next ones has view_age_ms 2,914 to 3,218, again and again.

Change: a host that fails twice in a row, or whose watch is late, says in its description that it has lost the store, tells those that read next and stands last in the order. A turn begins with a short watch. While nothing confirms the view, as many more hosts read as have lost the store, 64 at most. The second reader halves its wait after changes, so that the two confirm the view at different times.

--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t demands_index = 10;
 constexpr std::size_t values_per_demand = 3;
 
+// Array index of whether a host has lost the store; left out if it has not.
+constexpr std::size_t store_lost_index = 11;
+
 // Array indices of parts that a datagram may lack; hosts of earlier releases
 // read only the first ones. In place of no update, one that changes nothing is
 // sent when other parts follow it.
@@ -55,11 +58,16 @@
         demands.push_back(demand.local);
         demands.push_back(demand.remote);
     }
-    return json::array({one.address.value, one.counter,
-                        static_cast<unsigned>(one.state), one.start.value,
-                        one.domain.value, one.callers.value, one.ready,
-                        one.processor_share, one.link_mbps, one.links.value,
-                        std::move(demands)});
+    json encoded = json::array(
+        {one.address.value, one.counter, static_cast<unsigned>(one.state),
+         one.start.value, one.domain.value, one.callers.value, one.ready,
+         one.processor_share, one.link_mbps, one.links.value,
+         std::move(demands)});
+    if (one.store_lost)
+    {
+        encoded.push_back(true);
+    }
+    return encoded;
 }
 
 // Rejects records with negative or non-finite numbers.
@@ -161,6 +169,10 @@
     {
         one.demands = to_demands(from.at(demands_index));
     }
+    if (from.size() > store_lost_index)
+    {
+        one.store_lost = from.at(store_lost_index).get<bool>();
+    }
     return one;
 }
 
--- a/src/node/process/member.hpp
+++ b/src/node/process/member.hpp
@@ -44,6 +44,9 @@
     /// Whether the host has a configuration and can serve.
     bool ready = false;
 
+    /// Whether the host has lately failed to read the store.
+    bool store_lost = false;
+
     /// CPU share of the host, in cores.
     double processor_share = 1.0;
 
--- a/src/node/process/member_list.cpp
+++ b/src/node/process/member_list.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <iterator>
 #include <random>
+#include <ranges>
 #include <utility>
 
 namespace basilpath
@@ -79,6 +80,10 @@
     }
     const member_state before =
         added ? member_state::dead : one.description.state;
+    if (received.store_lost && (added || !one.description.store_lost))
+    {
+        this->store_loss_at = now;
+    }
     one.description = received;
     one.transmissions = 0;
     one.unanswered_probes = 0;
@@ -211,6 +216,15 @@
     ++this->self.counter;
 }
 
+void member_list::set_store_lost(bool lost)
+{
+    if (this->self.store_lost != lost)
+    {
+        this->self.store_lost = lost;
+        ++this->self.counter;
+    }
+}
+
 bool member_list::set_demands(std::vector<host_demand> demands)
 {
     demands.resize(std::min(demands.size(), max_announced_demands));
@@ -336,16 +350,52 @@
     return sharers;
 }
 
-std::size_t member_list::rank() const
+member_list::reading_place member_list::reading_place_of(const member& one)
 {
     constexpr std::string_view order = "reader";
-    const auto own = rendezvous_hash(order, this->self.address.value);
+    return {one.store_lost, rendezvous_hash(order, one.address.value)};
+}
+
+std::size_t member_list::rank() const
+{
+    const reading_place own = reading_place_of(this->self);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->records,
+                              [&own](const auto& entry)
+                              {
+                                  const member& one = entry.second.description;
+                                  return one.state == member_state::alive &&
+                                         reading_place_of(one) < own;
+                              }));
+}
+
+std::vector<peer_address> member_list::first_readers(std::size_t most) const
+{
+    std::vector<std::pair<reading_place, peer_address>> places;
+    for (const auto& [address, one] : this->records)
+    {
+        if (one.description.state == member_state::alive)
+        {
+            places.emplace_back(reading_place_of(one.description), address);
+        }
+    }
+    const auto count =
+        static_cast<std::ptrdiff_t>(std::min(most, places.size()));
+    std::ranges::partial_sort(places, places.begin() + count);
+    std::vector<peer_address> result;
+    std::ranges::copy(places | std::views::values | std::views::take(count),
+                      std::back_inserter(result));
+    return result;
+}
+
+std::size_t member_list::store_lost_count() const
+{
     return static_cast<std::size_t>(std::ranges::count_if(
         this->records,
-        [own, order](const auto& entry)
+        [](const auto& entry)
         {
-            return entry.second.description.state == member_state::alive &&
-                   rendezvous_hash(order, entry.first.value) < own;
+            const member& one = entry.second.description;
+            return one.state == member_state::alive && one.store_lost;
         }));
 }
 
--- a/src/node/process/member_list.hpp
+++ b/src/node/process/member_list.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace basilpath
@@ -45,6 +46,7 @@
     /// These change this host's description and raise its counter.
     void set_ready(bool ready);
     void set_leaving();
+    void set_store_lost(bool lost);
 
     /// Changes this host's demands, of which the first few are announced. For
     /// the other groups no host announces any, which divides their limits
@@ -86,10 +88,25 @@
     /// is cut off, and they count for longer.
     [[nodiscard]] std::vector<demanding_host> limit_sharers(instant now) const;
 
-    /// Position of this host, from 0, among the alive members in rendezvous
-    /// hash order.
+    /// Position of this host, from 0, among the alive members in the order in
+    /// which hosts read the store: rendezvous hash order, those that have lost
+    /// the store last.
     [[nodiscard]] std::size_t rank() const;
 
+    /// Returns up to `most` other hosts, the first in the order in which hosts
+    /// read the store.
+    [[nodiscard]] std::vector<peer_address>
+    first_readers(std::size_t most) const;
+
+    /// Number of other alive members that have lost the store.
+    [[nodiscard]] std::size_t store_lost_count() const;
+
+    /// Returns when another member was last reported to have lost the store.
+    [[nodiscard]] instant last_store_loss() const
+    {
+        return this->store_loss_at;
+    }
+
     /// Returns the members whose state changed since the last call, for the
     /// log.
     [[nodiscard]] std::vector<member> take_changes();
@@ -106,6 +123,10 @@
         unsigned transmissions = 0;
     };
 
+    /// Place of a member in the order in which hosts read the store.
+    using reading_place = std::pair<bool, std::uint64_t>;
+
+    [[nodiscard]] static reading_place reading_place_of(const member& one);
     [[nodiscard]] std::size_t local_count() const;
     void declare_dead(record& one, instant now);
     void refute(const member& received);
@@ -117,6 +138,7 @@
     peer_address last_remote_probed;
     std::uint64_t rounds = 0;
     instant dead_probe_at{};
+    instant store_loss_at{};
     std::vector<member> changes;
 };
 
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -176,6 +176,8 @@
             this->crashes.note_broken(fingerprint_of(*call.query),
                                       {call.to, now}, now);
         });
+    this->reader.on_contact_change([this]
+                                   { this->peers.push_state_to_readers(); });
     this->view.on_restore(
         [this] {
             this->deferred.restart(
@@ -264,6 +266,9 @@
     stats.message_bytes_refused = this->memory->refused();
     stats.requests_not_logged = this->requests.dropped();
     stats.live_hosts = static_cast<double>(this->members.live().size());
+    const bool store_lost = this->members.own().store_lost;
+    stats.hosts_without_store = static_cast<double>(
+        this->members.store_lost_count() + (store_lost ? 1 : 0));
     stats.replicas = static_cast<double>(this->targets.replica_count());
     stats.slack_share = this->slack.share();
     const evacuated_domains& evacuated = this->targets.evacuations();
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -85,6 +85,9 @@
     };
     gauge("basilpath_node_live_hosts", "Hosts that live, this one included.",
           stats.live_hosts);
+    gauge("basilpath_node_hosts_without_store",
+          "Live hosts that say that they have lost the store.",
+          stats.hosts_without_store);
     gauge("basilpath_node_replicas", "Replicas that are known.",
           stats.replicas);
     gauge("basilpath_node_limited_replicas", "Replicas that name a limit.",
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -24,6 +24,7 @@
     std::uint64_t message_bytes_refused = 0;
     double message_bytes = 0;
     double live_hosts = 0;
+    double hosts_without_store = 0;
     double replicas = 0;
     double limited_replicas = 0;
     double cold_replicas = 0;
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -42,6 +42,10 @@
 // many.
 constexpr std::size_t push_fanout = 7;
 
+// Hosts that are told first which one has lost the store: several of those that
+// take over from it, as it may not be the only one.
+constexpr std::size_t reader_push_count = 8;
+
 // Most descriptions of other members in one datagram.
 constexpr std::size_t gossip_limit = 6;
 
@@ -125,6 +129,17 @@
     this->push_to_some(this->view.view().position());
 }
 
+void peer_exchange::push_state_to_readers()
+{
+    const store_position held = this->view.view().position();
+    for (const peer_address& to :
+         this->members.first_readers(reader_push_count))
+    {
+        this->send(to, datagram_kind::gossip, held);
+    }
+    this->push_to_some(held);
+}
+
 asio::awaitable<void> peer_exchange::receive()
 {
     while (true)
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -40,6 +40,10 @@
     /// Sends this host's changed description to some members at once.
     void push_state();
 
+    /// Sends this host's changed description to the hosts that read the store
+    /// first, and to some members.
+    void push_state_to_readers();
+
     /// Sends a replica crash that this host found to the other hosts.
     void announce_crash(const suspected_crash& crash);
 
--- a/src/node/process/store_reader.hpp
+++ b/src/node/process/store_reader.hpp
@@ -11,6 +11,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
+#include <string_view>
+#include <utility>
 
 namespace basilpath
 {
@@ -24,15 +27,23 @@
 };
 
 /// Reads and watches the store while it is this host's turn: two hosts read at
-/// a time, the others take over when the view that they get from the readers
+/// a time. One that cannot reach the store says so to the others and reads
+/// last; the others also take over when the view that they get from the readers
 /// becomes too old. Needed because the store counts each call, and readers may
-/// die or be partitioned off.
+/// die, be partitioned off or be turned away.
 template <runtime Runtime, item_source Source>
 class store_reader
 {
 public:
     store_reader(Runtime& run, Source& source, store_view& view,
-                 const member_list& members, reader_role role);
+                 member_list& members, reader_role role);
+
+    /// Sets the function to call after this host's description in the member
+    /// list has changed, as it has lost the store or reaches it again.
+    void on_contact_change(std::function<void()> handler)
+    {
+        this->contact_handler = std::move(handler);
+    }
 
     /// Runs until the process ends.
     boost::asio::awaitable<void> run();
@@ -44,6 +55,10 @@
     boost::asio::awaitable<bool> watch();
     boost::asio::awaitable<void> pause(milliseconds wait);
     [[nodiscard]] bool apply(const item_update& update, instant as_of);
+    [[nodiscard]] milliseconds next_watch_wait() const;
+    [[nodiscard]] milliseconds next_trial_wait();
+    void set_store_lost(bool lost, std::string_view reason);
+    void record_delay(microseconds elapsed, milliseconds wait);
     void record_era(const read_result& result);
     void record_result(const read_result& result);
     void record_turn(bool due, instant now);
@@ -51,9 +66,27 @@
     Runtime& runtime_context;
     Source& source;
     store_view& view;
-    const member_list& members;
+    member_list& members;
+    std::function<void()> contact_handler;
     backoff retry;
 
+    /// Waits between the calls of a host that has lost the store while others
+    /// read it.
+    backoff trial;
+    instant next_trial{};
+
+    /// Calls that have failed in a row.
+    unsigned failed_calls = 0;
+
+    /// Whether the last call of this turn reached the store.
+    bool reached_in_turn = false;
+
+    /// Whether the watches of both readers may have returned at the same time.
+    bool in_step = false;
+
+    /// By how much the store lately answered watches late.
+    microseconds watch_delay{0};
+
     /// Until then a starting host waits for other hosts to send the view.
     instant first_read_at;
     bool full_read_due = true;
--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -30,6 +30,30 @@
 /// and two readers together make one call a second.
 inline constexpr milliseconds watch_wait{2'000};
 
+/// Duration of the first watch of a turn and of the trial of a host that has
+/// lost the store, which show at once whether the store answers.
+inline constexpr milliseconds trial_watch_wait{50};
+
+/// A host has lost the store after this many failed calls in a row, or when a
+/// watch has not returned this long after its wait and by twice as much as it
+/// lately took.
+inline constexpr unsigned lost_after_failures = 2;
+inline constexpr milliseconds lost_after_delay{300};
+
+/// Range of the waits between the trials of a host that has lost the store. The
+/// longest is shorter where there are fewer hosts, so that they find the store
+/// soon after its return.
+inline constexpr milliseconds min_trial_interval{1'000};
+inline constexpr milliseconds max_trial_interval{8'000};
+inline constexpr milliseconds trial_interval_per_host{400};
+
+/// While the view is older than this and than the last report of a host that
+/// has lost the store, as many more hosts read as have lost it, since the next
+/// in line may have lost it too; the bound keeps a large system from calling a
+/// store that is away for all of it at once.
+inline constexpr milliseconds stale_age{1'500};
+inline constexpr std::size_t max_extra_readers = 64;
+
 /// Number of hosts that read all the time.
 inline constexpr std::size_t reader_count = 2;
 
@@ -58,11 +82,13 @@
 template <runtime Runtime, item_source Source>
 store_reader<Runtime, Source>::store_reader(Runtime& run, Source& source,
                                             store_view& view,
-                                            const member_list& members,
+                                            member_list& members,
                                             reader_role role)
     : runtime_context(run), source(source), view(view), members(members),
       retry(store_reader_bounds::min_retry_wait,
             store_reader_bounds::max_retry_wait),
+      trial(store_reader_bounds::min_trial_interval,
+            store_reader_bounds::max_trial_interval),
       first_read_at(to_instant(Runtime::clock::now()))
 {
     if (role == reader_role::seed)
@@ -90,6 +116,7 @@
         this->record_turn(due, time);
         if (!due)
         {
+            this->reached_in_turn = false;
             co_await this->pause(store_reader_bounds::check_interval);
             continue;
         }
@@ -125,6 +152,18 @@
     {
         return true;
     }
+    if (this->members.own().store_lost)
+    {
+        return now >= this->next_trial;
+    }
+    const bool unconfirmed = now - *age < this->members.last_store_loss();
+    if (unconfirmed && *age > store_reader_bounds::stale_age &&
+        rank < store_reader_bounds::reader_count +
+                   std::min(this->members.store_lost_count(),
+                            store_reader_bounds::max_extra_readers))
+    {
+        return true;
+    }
     const auto steps = static_cast<std::int64_t>(
         std::min(rank, store_reader_bounds::takeover_steps));
     return *age > store_reader_bounds::takeover_age +
@@ -166,11 +205,26 @@
     const instant started = to_instant(Runtime::clock::now());
     const store_position held = this->view.view().position();
     const store_revision after = held.revision;
-    constexpr milliseconds timeout =
-        store_reader_bounds::watch_wait + store_reader_bounds::watch_margin;
-    const read_result result = co_await this->source.watch(
-        after, store_reader_bounds::watch_wait, timeout);
+    const milliseconds wait = this->next_watch_wait();
+    const milliseconds timeout = wait + store_reader_bounds::watch_margin;
+    typename Runtime::timer late(this->runtime_context.executor());
+    late.expires_after(
+        wait + std::max<microseconds>(store_reader_bounds::lost_after_delay,
+                                      2 * this->watch_delay));
+    late.async_wait(
+        [this](const boost::system::error_code& cancelled)
+        {
+            if (!cancelled)
+            {
+                this->set_store_lost(true, "late");
+            }
+        });
+    const read_result result =
+        co_await this->source.watch(after, wait, timeout);
+    late.cancel();
     this->record_result(result);
+    this->in_step = !result.update.changes.empty() ||
+                    wait == store_reader_bounds::trial_watch_wait;
     // Another host may have sent the view of a restored store meanwhile.
     const bool same_era = this->view.view().position().era == held.era;
     if (result.end == read_end::compacted && same_era)
@@ -197,6 +251,7 @@
     }
     // Limits the call rate if the store answers early, with or without changes.
     const microseconds elapsed = to_instant(Runtime::clock::now()) - started;
+    this->record_delay(elapsed, wait);
     if (!result.update.changes.empty() ||
         elapsed < store_reader_bounds::min_watch_interval)
     {
@@ -244,6 +299,69 @@
     return current;
 }
 
+// Returns how long the next watch may wait for changes. One of the two readers
+// waits half as long where both would otherwise confirm the view at the same
+// times.
+template <runtime Runtime, item_source Source>
+milliseconds store_reader<Runtime, Source>::next_watch_wait() const
+{
+    if (!this->reached_in_turn)
+    {
+        return store_reader_bounds::trial_watch_wait;
+    }
+    const bool second = this->members.rank() % 2 == 1;
+    return second && this->in_step ? store_reader_bounds::watch_wait / 2
+                                   : store_reader_bounds::watch_wait;
+}
+
+template <runtime Runtime, item_source Source>
+milliseconds store_reader<Runtime, Source>::next_trial_wait()
+{
+    using namespace store_reader_bounds;
+    const std::uint64_t random = this->runtime_context.random();
+    const auto hosts = static_cast<std::int64_t>(this->members.live().size());
+    const milliseconds longest =
+        std::clamp(hosts * trial_interval_per_host, min_trial_interval,
+                   max_trial_interval);
+    const milliseconds bound =
+        longest / 2 +
+        milliseconds(static_cast<std::int64_t>(
+            random % static_cast<std::uint64_t>(longest.count() / 2)));
+    return std::min(this->trial.next(random), bound);
+}
+
+// Changes and announces whether this host has lost the store.
+template <runtime Runtime, item_source Source>
+void store_reader<Runtime, Source>::set_store_lost(bool lost,
+                                                   std::string_view reason)
+{
+    if (this->members.own().store_lost == lost)
+    {
+        return;
+    }
+    const std::size_t rank = this->members.rank();
+    this->members.set_store_lost(lost);
+    log_event(lost ? log_level::warning : log_level::info,
+              lost ? "reader_yields" : "reader_returns",
+              {{"reason", reason},
+               {"rank", rank},
+               {"rank_now", this->members.rank()},
+               {"others_lost", this->members.store_lost_count()}});
+    if (this->contact_handler)
+    {
+        this->contact_handler();
+    }
+}
+
+// Records by how much a watch without changes returned after its wait.
+template <runtime Runtime, item_source Source>
+void store_reader<Runtime, Source>::record_delay(microseconds elapsed,
+                                                 milliseconds wait)
+{
+    const microseconds delay = std::max(elapsed - wait, microseconds(0));
+    this->watch_delay = std::max(delay, this->watch_delay / 2);
+}
+
 // Records the era of a response, and logs a new one.
 template <runtime Runtime, item_source Source>
 void store_reader<Runtime, Source>::record_era(const read_result& result)
@@ -283,6 +401,19 @@
 {
     this->record_era(result);
     const bool reached = result.end != read_end::unavailable;
+    this->reached_in_turn = reached;
+    this->failed_calls = reached ? 0 : this->failed_calls + 1;
+    if (reached)
+    {
+        this->trial.reset();
+        this->set_store_lost(false, "reached");
+    }
+    else if (this->failed_calls >= store_reader_bounds::lost_after_failures)
+    {
+        this->set_store_lost(true, result.reason);
+        this->next_trial =
+            to_instant(Runtime::clock::now()) + this->next_trial_wait();
+    }
     if (this->store.update(reached))
     {
         log_event(reached ? log_level::info : log_level::warning,
