--- a/src/node/process/store_reader.hpp
+++ b/src/node/process/store_reader.hpp
@@ -13,7 +13,6 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
-#include <utility>
 
 namespace basilpath
 {
@@ -40,9 +39,9 @@
 
     /// Sets the function to call after this host's description in the member
     /// list has changed, as it has lost the store or reaches it again.
-    void on_contact_change(std::function<void()> handler)
+    void on_contact_change(const std::function<void()>& handler)
     {
-        this->contact_handler = std::move(handler);
+        this->contact_handler = handler;
     }
 
     /// Runs until the process ends.
--- a/test/crash_check_test.cpp
+++ b/test/crash_check_test.cpp
@@ -45,7 +45,7 @@
 
     std::shared_ptr<target_call> send(const std::string& id)
     {
-        const auto call = this->start(id, false, 10s, "i-2");
+        auto call = this->start(id, false, 10s, "i-2");
         this->run([&call] { return call->on_wire; });
         return call;
     }
