Log and count how views spread between hosts

The hypotheses on the late configuration cannot be told apart by what is logged. Now view_fetch_failed has the bytes that had arrived and the duration, view_fetched the same for slow fetches, view_late how long a host lacked a view that it had been offered, configuration the size and revision of its value, and reading_begun how many others have lost the store. No decision changes.

--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -46,6 +46,7 @@
 node_http_client::get(std::string target, milliseconds timeout)
 {
     this->too_long = false;
+    this->received = 0;
     if (this->connected && this->has_unread_bytes())
     {
         this->close(); // They are no answer to this request.
@@ -72,6 +73,7 @@
     const auto [read_error, count] =
         co_await http::async_read(this->stream, this->buffer, parser,
                                   asio::as_tuple(asio::use_awaitable));
+    this->received = count;
     if (read_error)
     {
         this->too_long = read_error == http::error::body_limit;
--- a/src/node/connection/http_client.hpp
+++ b/src/node/connection/http_client.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -46,6 +47,12 @@
         return this->too_long;
     }
 
+    /// Bytes of the last request's response that have been read.
+    [[nodiscard]] std::size_t received_bytes() const
+    {
+        return this->received;
+    }
+
     /// Closes the connection; a request in progress fails.
     void close();
 
@@ -59,6 +66,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::string error_text;
+    std::size_t received = 0;
     bool too_long = false;
     bool connected = false;
 };
--- a/src/node/process/node.hpp
+++ b/src/node/process/node.hpp
@@ -31,6 +31,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -78,7 +79,8 @@
     void apply_deferred();
     void apply_item(const item_change& change, const decoded_item& item,
                     milliseconds removal_grace);
-    void apply_routes(const std::shared_ptr<const route_table>& table);
+    void apply_routes(const std::shared_ptr<const route_table>& table,
+                      std::size_t bytes, store_position position);
     boost::asio::awaitable<void> run_periodic_tasks();
     void update_shares();
     void update_slack_share(instant now, const std::set<http_address>& serving);
--- a/src/node/process/node.ipp
+++ b/src/node/process/node.ipp
@@ -176,6 +176,11 @@
             this->crashes.note_broken(fingerprint_of(*call.query),
                                       {call.to, now}, now);
         });
+    this->peers.on_view_lag([this](microseconds lag)
+                            { this->metrics.note_view_lag(lag); });
+    this->peers.on_view_fetch(
+        [this](microseconds took, bool received)
+        { this->metrics.note_view_fetch(took, received); });
     this->reader.on_contact_change([this]
                                    { this->peers.push_state_to_readers(); });
     this->view.on_restore(
@@ -502,17 +507,19 @@
             }
             else if constexpr (!std::is_same_v<type, foreign_item>)
             {
-                this->apply_routes(one);
+                this->apply_routes(one, change.value ? change.value->size() : 0,
+                                   change.position());
             }
         },
         item);
 }
 
 // Puts a version of the configuration in force, unless the current one is as
-// new.
+// new. The store's value had `bytes`, written at `position`.
 template <class Adapter>
 void node<Adapter>::apply_routes(
-    const std::shared_ptr<const route_table>& table)
+    const std::shared_ptr<const route_table>& table, std::size_t bytes,
+    store_position position)
 {
     if (this->routes && this->routes->version() >= table->version())
     {
@@ -534,7 +541,9 @@
     }
     log_event(log_level::info, "configuration",
               {{"version", table->version().value},
-               {"routes", table->route_count()}});
+               {"routes", table->route_count()},
+               {"bytes", bytes},
+               {"revision", position.revision}});
 }
 
 // Updates this host's share of the common limits at intervals, flushes the log,
--- a/src/node/process/node_metrics.cpp
+++ b/src/node/process/node_metrics.cpp
@@ -39,6 +39,26 @@
     }
 }
 
+void node_metrics::note_view_lag(std::chrono::microseconds lag)
+{
+    this->registry
+        .add_histogram("basilpath_node_view_lag_seconds",
+                       "Time from the first offer of a later view of the store "
+                       "until this host had it.",
+                       {})
+        .record(lag);
+}
+
+void node_metrics::note_view_fetch(std::chrono::microseconds took,
+                                   bool received)
+{
+    this->registry
+        .add_histogram("basilpath_node_view_fetch_seconds",
+                       "Duration of fetches of views from other hosts.",
+                       {{"result", received ? "received" : "failed"}})
+        .record(took);
+}
+
 std::string node_metrics::expose(const node_stats& stats)
 {
     this->raise_counter("basilpath_node_store_calls_total",
--- a/src/node/process/node_metrics.hpp
+++ b/src/node/process/node_metrics.hpp
@@ -6,6 +6,7 @@
 #include "node/request/decision_trace.hpp"
 #include "process/metrics_registry.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -54,6 +55,13 @@
     /// Counts a finished request and its decisions.
     void note(const request_summary& summary, const decision_trace& trace);
 
+    /// Records the time from the first offer of a later view of the store until
+    /// this host had it.
+    void note_view_lag(std::chrono::microseconds lag);
+
+    /// Records a fetch of a view from another host.
+    void note_view_fetch(std::chrono::microseconds took, bool received);
+
     /// Returns all metrics in the Prometheus text format.
     [[nodiscard]] std::string expose(const node_stats& stats);
 
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -66,6 +66,12 @@
 
 constexpr milliseconds fetch_timeout{1'000};
 
+// A later view that this host has lacked for longer is logged.
+constexpr microseconds reported_view_lag = 500ms;
+
+// A successful fetch that took longer is logged.
+constexpr microseconds reported_fetch_time = 100ms;
+
 // Time within which a host of the same failure domain is likely to offer the
 // changes that one of another domain has: a probe round at the start, and a
 // margin.
@@ -112,8 +118,12 @@
 void peer_exchange::start()
 {
     this->server.start();
-    this->view.on_advance([this](store_position before)
-                          { this->push_to_some(before); });
+    this->view.on_advance(
+        [this](store_position before)
+        {
+            this->note_advance();
+            this->push_to_some(before);
+        });
     asio::co_spawn(this->context, this->receive(), asio::detached);
     asio::co_spawn(this->context, this->probe(), asio::detached);
 }
@@ -206,17 +216,37 @@
     const store_position held = this->view.view().position();
     std::string target = fmt::format("{}{}{}{}", view_path, held.revision,
                                      era_parameter, held.era.value);
+    const instant started = now();
     const auto response = co_await client.get(std::move(target), fetch_timeout);
     client.close();
     this->fetching = false;
     const auto update =
         response ? decode_update(response->body()) : std::nullopt;
+    const microseconds took = now() - started;
+    const auto took_ms = std::chrono::duration_cast<milliseconds>(took).count();
+    if (this->fetch_handler)
+    {
+        this->fetch_handler(took, update.has_value());
+    }
     if (!update)
     {
         log_event(log_level::info, "view_fetch_failed",
-                  {{"from", from.value}, {"reason", client.last_error()}});
+                  {{"from", from.value},
+                   {"reason", client.last_error()},
+                   {"after", held.revision},
+                   {"bytes", client.received_bytes()},
+                   {"took_ms", took_ms}});
         co_return;
     }
+    if (took > reported_fetch_time)
+    {
+        log_event(log_level::info, "view_fetched",
+                  {{"from", from.value},
+                   {"after", held.revision},
+                   {"revision", update->revision},
+                   {"bytes", client.received_bytes()},
+                   {"took_ms", took_ms}});
+    }
     this->count_remote(from, traffic_purpose::views, response->body().size());
     // The age of the other view arrives with its next datagram.
     const update_result result = this->view.apply(*update, std::nullopt);
@@ -317,6 +347,7 @@
 
 void peer_exchange::update_view(const peer_datagram& datagram, instant time)
 {
+    this->note_offer(datagram.position, time);
     const milliseconds age = datagram.age.value_or(milliseconds::max());
     const bool has_age = datagram.age.has_value();
     if (datagram.update && has_age)
@@ -429,6 +460,38 @@
     }
 }
 
+void peer_exchange::note_offer(store_position offered, instant time)
+{
+    if (!this->pending_offer && offered > this->view.view().position())
+    {
+        this->pending_offer = first_offer{offered, time};
+    }
+}
+
+// Records how long this host has lacked the first later view that it was
+// offered.
+void peer_exchange::note_advance()
+{
+    const store_position held = this->view.view().position();
+    if (!this->pending_offer || held < this->pending_offer->position)
+    {
+        return;
+    }
+    const microseconds lag =
+        now() - std::exchange(this->pending_offer, std::nullopt)->at;
+    if (this->lag_handler)
+    {
+        this->lag_handler(lag);
+    }
+    if (lag > reported_view_lag)
+    {
+        log_event(log_level::info, "view_late",
+                  {{"revision", held.revision},
+                   {"lag_ms",
+                    std::chrono::duration_cast<milliseconds>(lag).count()}});
+    }
+}
+
 void peer_exchange::log_member_changes()
 {
     for (const member& one : this->members.take_changes())
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -16,6 +16,9 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace basilpath
@@ -47,6 +50,20 @@
     /// Sends a replica crash that this host found to the other hosts.
     void announce_crash(const suspected_crash& crash);
 
+    /// Sets the function to call with the time from the first offer of a later
+    /// view by another host until this host has it.
+    void on_view_lag(std::function<void(microseconds)> handler)
+    {
+        this->lag_handler = std::move(handler);
+    }
+
+    /// Sets the function to call after each fetch of a view with its duration
+    /// and whether it was received.
+    void on_view_fetch(std::function<void(microseconds, bool)> handler)
+    {
+        this->fetch_handler = std::move(handler);
+    }
+
     /// Number of datagrams sent.
     [[nodiscard]] std::uint64_t sent() const
     {
@@ -67,6 +84,8 @@
     void update_view(const peer_datagram& datagram, instant now);
     void send(const peer_address& to, datagram_kind kind, store_position known);
     void push_to_some(store_position known);
+    void note_offer(store_position offered, instant time);
+    void note_advance();
     void log_member_changes();
     [[nodiscard]] std::vector<peer_address> unreached_seeds() const;
 
@@ -83,6 +102,17 @@
     std::array<char, 65'536> received{};
     std::uint64_t sent_count = 0;
     std::uint64_t rounds = 0;
+    std::function<void(microseconds)> lag_handler;
+    std::function<void(microseconds, bool)> fetch_handler;
+
+    /// The first offer of a view later than this host's.
+    struct first_offer
+    {
+        store_position position;
+        instant at;
+    };
+    std::optional<first_offer> pending_offer;
+
     bool fetching = false;
     bool fetch_scheduled = false;
 
--- a/src/node/process/store_reader.ipp
+++ b/src/node/process/store_reader.ipp
@@ -391,6 +391,7 @@
         const auto age = this->view.age(now);
         log_event(log_level::info, due ? "reading_begun" : "reading_ended",
                   {{"rank", this->members.rank()},
+                   {"others_lost", this->members.store_lost_count()},
                    {"view_age_ms", age ? age->count() : -1}});
     }
 }
