--- a/test/peer_exchange_test.cpp
+++ b/test/peer_exchange_test.cpp
@@ -1,14 +1,23 @@
 /// What hosts tell each other, over sockets of the loopback address.
 #include "node/process/peer_exchange.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <chrono>
 #include <memory>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace
@@ -130,4 +139,104 @@
     CHECK(second.view.view().since({}).changes[0].value == "new");
 }
 
+/// A peer that offers a view and sends it in pieces, as over a narrow link.
+class slow_peer
+{
+public:
+    slow_peer(boost::asio::io_context& context, const peer_address& address,
+              item_update view, std::size_t pieces, milliseconds interval)
+        : acceptor(context, endpoint_of<boost::asio::ip::tcp>(address)),
+          offers(context, endpoint_of<boost::asio::ip::udp>(address)),
+          view(std::move(view)), pieces(pieces), interval(interval),
+          address(address)
+    {
+        boost::asio::co_spawn(context, this->serve(), boost::asio::detached);
+    }
+
+    void offer_to(const peer_address& to)
+    {
+        peer_datagram datagram;
+        datagram.from = exchanging_host::describe(this->address);
+        datagram.position = this->view.position();
+        datagram.age = milliseconds(0);
+        this->offers.send_to(
+            boost::asio::buffer(encode_datagram(datagram, now())),
+            endpoint_of<boost::asio::ip::udp>(to));
+    }
+
+    std::size_t requests = 0;
+
+private:
+    template <class Protocol>
+    static typename Protocol::endpoint endpoint_of(const peer_address& address)
+    {
+        const auto colon = address.value.rfind(':');
+        return {boost::asio::ip::make_address(address.value.substr(0, colon)),
+                static_cast<boost::asio::ip::port_type>(
+                    std::stoi(address.value.substr(colon + 1)))};
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        while (true)
+        {
+            auto socket = co_await this->acceptor.async_accept(
+                boost::asio::use_awaitable);
+            std::string head;
+            co_await boost::asio::async_read_until(
+                socket, boost::asio::dynamic_buffer(head), "\r\n\r\n",
+                boost::asio::use_awaitable);
+            ++this->requests;
+            const std::string body = encode_update(this->view);
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                       std::to_string(body.size()) +
+                                       "\r\n\r\n" + body;
+            const std::size_t length = answer.size() / this->pieces + 1;
+            boost::asio::steady_timer timer(this->acceptor.get_executor());
+            boost::system::error_code error;
+            for (std::size_t at = 0; at < answer.size() && !error; at += length)
+            {
+                const std::string piece = answer.substr(at, length);
+                std::tie(error, std::ignore) =
+                    co_await boost::asio::async_write(
+                        socket, boost::asio::buffer(piece),
+                        boost::asio::as_tuple(boost::asio::use_awaitable));
+                timer.expires_after(this->interval);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+        }
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::ip::udp::socket offers;
+    item_update view;
+    std::size_t pieces;
+    milliseconds interval;
+    peer_address address;
+};
+
+// Guards against hosts that abandon a fetch of a large configuration while it
+// makes progress, and begin it anew.
+TEST_CASE("a view that takes longer than a second to arrive is received",
+          "[!shouldfail]")
+{
+    boost::asio::io_context context;
+    const peer_address address = free_address();
+    const item_update offered{
+        0, 300, {{"a", std::string(100'000, 'v'), 290}}, store_era{}};
+    slow_peer peer(context, address, offered, 40, 50ms);
+    exchanging_host host(context, free_address(), {});
+    for (int i = 0;
+         i < 3000 && host.view.view().position() != offered.position(); ++i)
+    {
+        if (i % 100 == 0)
+        {
+            peer.offer_to(host.members.own().address);
+        }
+        context.run_for(2ms);
+    }
+    CHECK(host.view.view().position() == offered.position());
+    CHECK(peer.requests == 1);
+}
+
 } // namespace
--- a/test/turned_away_readers_test.cpp
+++ b/test/turned_away_readers_test.cpp
@@ -51,6 +51,11 @@
 /// The store as one host reaches it.
 struct model_source
 {
+    model_source(virtual_runtime& run, model_store& store)
+        : run(run), store(store)
+    {
+    }
+
     boost::asio::awaitable<read_result> read_all(milliseconds timeout)
     {
         return this->watch(0, 0ms, timeout);
@@ -79,15 +84,40 @@
                 (this->store.revision > after || elapsed >= wait);
             if (answers)
             {
+                co_await this->receive();
                 co_return read_result{read_end::done, this->store.since(after),
                                       ""};
             }
         }
     }
 
+    [[nodiscard]] std::size_t received_bytes() const
+    {
+        return this->received;
+    }
+
     virtual_runtime& run;
     model_store& store;
     treatment by_store = treatment::served;
+
+    /// How long an answer takes to arrive once it has begun.
+    milliseconds transfer_time{0};
+
+private:
+    boost::asio::awaitable<void> receive()
+    {
+        constexpr milliseconds step = 10ms;
+        for (milliseconds left = this->transfer_time; left > 0ms; left -= step)
+        {
+            virtual_runtime::timer timer(this->run.executor());
+            timer.expires_after(step);
+            co_await timer.async_wait(
+                boost::asio::as_tuple(boost::asio::use_awaitable));
+            ++this->received;
+        }
+    }
+
+    std::size_t received = 0;
 };
 
 member describe(const std::string& address)
@@ -343,6 +373,30 @@
     CHECK(all.write() <= 2s);
 }
 
+// Guards against readers that yield in turn while each receives a large
+// configuration, so that nobody reads it.
+TEST_CASE("a reader that receives a long answer has not lost the store",
+          "[!shouldfail]")
+{
+    model_hosts all(9);
+    all.run_for(10s);
+    const auto order = all.in_order();
+    for (const auto& one : all.hosts)
+    {
+        one->source.transfer_time = 800ms;
+    }
+    std::size_t losses = 0;
+    for (int i = 0; i < 5; ++i)
+    {
+        CHECK(all.write() < apply_time / 2);
+        losses += static_cast<std::size_t>(
+            std::ranges::count_if(all.hosts, [](const auto& one)
+                                  { return one->members.own().store_lost; }));
+    }
+    CHECK(losses == 0);
+    CHECK(all.in_order() == order);
+}
+
 TEST_CASE("hosts that have lost the store are last in the order of readers")
 {
     member_list own(describe("self"), instant{});
