Receive a large response as long as it keeps arriving

Callers saw requests handled by an older version more than configApplyMs after a version was acknowledged, with a configuration of 4,200 routes.

Cause: a fetch of another host's view ended a second after its request, and a call to the store by its time-out, whether or not the response was arriving; the next one began from its start. The class: a time limit on a whole transfer, whatever its size, and repeats that throw away what has arrived.

Now a response has a limit until it begins, one without progress (1 s) and one in all (3 s more). Health checks keep their limit on the whole.

"a view that takes longer than a second to arrive is received" failed before (six requests, nothing received).

--- a/src/node/connection/http_client.cpp
+++ b/src/node/connection/http_client.cpp
@@ -43,23 +43,23 @@
 }
 
 asio::awaitable<std::optional<http_response>>
-node_http_client::get(std::string target, milliseconds timeout)
+node_http_client::get(std::string target, response_timeouts timeouts)
 {
     this->too_long = false;
-    this->received = 0;
     if (this->connected && this->has_unread_bytes())
     {
         this->close(); // They are no answer to this request.
     }
     if (!this->connected)
     {
-        const bool made = co_await this->connect(timeout);
+        const bool made = co_await this->connect(timeouts.begin);
         if (!made)
         {
             co_return std::nullopt;
         }
     }
-    this->stream.expires_after(timeout);
+    const auto started = std::chrono::steady_clock::now();
+    this->stream.expires_at(started + timeouts.begin);
     http::request<http::empty_body> request(http::verb::get, target, 11);
     request.set(http::field::host, this->address.value);
     const auto [write_error, written] = co_await http::async_write(
@@ -70,14 +70,21 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(this->max_body_bytes);
-    const auto [read_error, count] =
-        co_await http::async_read(this->stream, this->buffer, parser,
-                                  asio::as_tuple(asio::use_awaitable));
-    this->received = count;
-    if (read_error)
+    parser.eager(true);
+    while (!parser.is_done())
     {
-        this->too_long = read_error == http::error::body_limit;
-        co_return this->close_with_error("read: " + read_error.message());
+        const auto [read_error, count] =
+            co_await http::async_read_some(this->stream, this->buffer, parser,
+                                           asio::as_tuple(asio::use_awaitable));
+        if (read_error)
+        {
+            this->too_long = read_error == http::error::body_limit;
+            co_return this->close_with_error("read: " + read_error.message());
+        }
+        this->received += count;
+        this->stream.expires_at(
+            std::min(std::chrono::steady_clock::now() + timeouts.stall,
+                     started + timeouts.total));
     }
     this->stream.expires_never();
     http_response response = parser.release();
--- a/src/node/connection/http_client.hpp
+++ b/src/node/connection/http_client.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/connection/http_types.hpp"
+#include "node/connection/response_timeouts.hpp"
 #include "version/ids.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace basilpath
 {
@@ -29,11 +31,18 @@
                      http_address address,
                      std::uint64_t max_body_bytes = default_max_body_bytes);
 
-    /// Sends GET `target`. Returns null when no complete response arrives
-    /// within `timeout`; `last_error` then has the reason, and the connection
-    /// is closed.
+    /// Sends GET `target`. Returns null when no complete response arrives in
+    /// time; `last_error` then has the reason, and the connection is closed.
     boost::asio::awaitable<std::optional<http_response>>
-    get(std::string target, milliseconds timeout);
+    get(std::string target, response_timeouts timeouts);
+
+    /// As above, for a complete response within `timeout`.
+    boost::asio::awaitable<std::optional<http_response>>
+    get(std::string target, milliseconds timeout)
+    {
+        return this->get(std::move(target),
+                         response_timeouts{timeout, timeout, timeout});
+    }
 
     [[nodiscard]] const std::string& last_error() const
     {
@@ -47,7 +56,8 @@
         return this->too_long;
     }
 
-    /// Bytes of the last request's response that have been read.
+    /// Bytes of responses that have been read so far; grows while a response
+    /// arrives.
     [[nodiscard]] std::size_t received_bytes() const
     {
         return this->received;
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -64,6 +64,7 @@
 // Most requests in quarantine that one datagram names.
 constexpr std::size_t quarantine_limit = 8;
 
+// Time until a fetched view must begin to arrive.
 constexpr milliseconds fetch_timeout{1'000};
 
 // A later view that this host has lacked for longer is logged.
@@ -217,7 +218,8 @@
     std::string target = fmt::format("{}{}{}{}", view_path, held.revision,
                                      era_parameter, held.era.value);
     const instant started = now();
-    const auto response = co_await client.get(std::move(target), fetch_timeout);
+    const auto response = co_await client.get(
+        std::move(target), response_timeouts::for_transfer(fetch_timeout));
     client.close();
     this->fetching = false;
     const auto update =
