Send views one after the other, and fetch from any host that offers one

A third cause: a host sent a view to all that asked, at once. A host that fetched passed over all other offers until its fetch had ended.

Now a host sends views in turn, by the bandwidth of its link; with more than 0.4 s to send it asks others to fetch elsewhere. Offers that arrive during a fetch are kept and used after it, at random, or beside one that takes more than a second. view_send_limit and view_offers decide; both are pure.

--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -16,6 +16,7 @@
 #include <charconv>
 #include <chrono>
 #include <iterator>
+#include <ranges>
 #include <stdexcept>
 #include <utility>
 
@@ -23,6 +24,7 @@
 {
 
 namespace asio = boost::asio;
+using boost::beast::http::status;
 using namespace std::chrono_literals;
 
 namespace
@@ -67,6 +69,15 @@
 // Time until a fetched view must begin to arrive.
 constexpr milliseconds fetch_timeout{1'000};
 
+// How often a host without a usable offer checks for one.
+constexpr microseconds offer_check_interval = 20ms;
+
+// A fetch that takes longer may be from a host that has become slow.
+constexpr microseconds slow_fetch_time = 1s;
+
+// Shortest time after which a host is asked again that has others to serve.
+constexpr microseconds busy_delay = 200ms;
+
 // A later view that this host has lacked for longer is logged.
 constexpr microseconds reported_view_lag = 500ms;
 
@@ -110,7 +121,8 @@
       server(context, members.own().address.value,
              [this](std::shared_ptr<http_request> request,
                     const std::shared_ptr<caller_presence>&)
-             { return this->serve_view(std::move(request)); })
+             { return this->serve_view(std::move(request)); }),
+      sends(members.own().link_mbps)
 {
     this->socket.non_blocking(true);
     this->set_seeds(this->seeds);
@@ -208,20 +220,54 @@
     }
 }
 
+// Fetches from the hosts that offer later views until this host has the latest
+// one that it was offered.
+asio::awaitable<void> peer_exchange::fetch_offered()
+{
+    asio::steady_timer timer(this->context);
+    while (const auto usable_at =
+               this->offers.next_time(this->view.view().position()))
+    {
+        const instant time = now();
+        const auto offer = this->offers.take(time, this->run.random());
+        if (offer && !this->is_dead(offer->from))
+        {
+            co_await this->fetch(*offer);
+        }
+        if (offer)
+        {
+            continue;
+        }
+        timer.expires_after(
+            std::min<microseconds>(*usable_at - time, offer_check_interval));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    --this->fetchers;
+}
+
 // Fetches the store changes that this host's view lacks from another host.
-asio::awaitable<void> peer_exchange::fetch(peer_address from)
+asio::awaitable<void> peer_exchange::fetch(view_offers::taken_offer offer)
 {
-    this->fetching = true;
+    const peer_address from = offer.from;
     node_http_client client(this->context.get_executor(),
                             http_address(from.value));
     const store_position held = this->view.view().position();
     std::string target = fmt::format("{}{}{}{}", view_path, held.revision,
                                      era_parameter, held.era.value);
     const instant started = now();
+    this->fetches[from] = started;
     const auto response = co_await client.get(
         std::move(target), response_timeouts::for_transfer(fetch_timeout));
     client.close();
-    this->fetching = false;
+    this->fetches.erase(from);
+    if (response && response->result() == status::service_unavailable)
+    {
+        this->offers.defer(from, offer.position,
+                           now() + busy_delay +
+                               microseconds(static_cast<std::int64_t>(
+                                   this->run.random() % busy_delay.count())));
+        co_return;
+    }
     const auto update =
         response ? decode_update(response->body()) : std::nullopt;
     const microseconds took = now() - started;
@@ -262,25 +308,6 @@
     }
 }
 
-// Fetches from a host of another failure domain, unless one of this domain
-// delivers the same changes in the meantime.
-asio::awaitable<void> peer_exchange::fetch_later(peer_address from,
-                                                 store_position offered)
-{
-    if (std::exchange(this->fetch_scheduled, true))
-    {
-        co_return;
-    }
-    asio::steady_timer timer(this->context);
-    timer.expires_after(local_offer_delay);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    this->fetch_scheduled = false;
-    if (this->view.view().position() < offered && !this->fetching)
-    {
-        co_await this->fetch(std::move(from));
-    }
-}
-
 asio::awaitable<http_response>
 peer_exchange::serve_view(std::shared_ptr<http_request> request)
 {
@@ -301,8 +328,19 @@
             std::from_chars(rest + era_parameter.size(), end, after.era.value);
         }
     }
-    http_response response(boost::beast::http::status::ok, 11);
+    http_response response(status::ok, 11);
     response.body() = encode_update(this->view.view().since(after));
+    const auto wait = this->sends.reserve(response.body().size(), now());
+    if (!wait)
+    {
+        co_return http_response(status::service_unavailable, 11);
+    }
+    if (*wait > microseconds(0))
+    {
+        asio::steady_timer timer(this->context);
+        timer.expires_after(*wait);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     co_return response;
 }
 
@@ -361,18 +399,48 @@
     {
         this->view.confirm(time - age);
     }
-    else if (datagram.position > held && !this->fetching)
+    else if (datagram.position > held)
     {
-        const bool delayed =
-            this->members.limits_traffic_to(datagram.from.address);
-        asio::co_spawn(this->context,
-                       delayed ? this->fetch_later(datagram.from.address,
-                                                   datagram.position)
-                               : this->fetch(datagram.from.address),
-                       asio::detached);
+        this->take_offer(datagram, time);
     }
 }
 
+// Fetches the later view that another host has, now or after the fetches in
+// progress.
+void peer_exchange::take_offer(const peer_datagram& datagram, instant time)
+{
+    const peer_address& from = datagram.from.address;
+    if (this->fetches.contains(from))
+    {
+        return;
+    }
+    // A host of this failure domain may offer the same changes soon.
+    const bool delayed = this->members.limits_traffic_to(from);
+    this->offers.note(from, datagram.position,
+                      delayed ? time + local_offer_delay : time);
+    if (this->needs_fetcher(time))
+    {
+        ++this->fetchers;
+        asio::co_spawn(this->context, this->fetch_offered(), asio::detached);
+    }
+}
+
+bool peer_exchange::is_dead(const peer_address& address) const
+{
+    const member* const known = this->members.find(address);
+    return known && known->state == member_state::dead;
+}
+
+// Returns whether to begin a fetch: none is in progress, or only one that is
+// slow.
+bool peer_exchange::needs_fetcher(instant now) const
+{
+    const bool slow = std::ranges::any_of(
+        this->fetches | std::views::values,
+        [now](instant began) { return now - began > slow_fetch_time; });
+    return this->fetchers == 0 || (this->fetchers == 1 && slow);
+}
+
 // Sends one datagram, with the store changes that the other host lacks when
 // they are few. A datagram that cannot be sent now is dropped; the next one
 // follows soon.
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -8,6 +8,8 @@
 #include "node/process/named_limits.hpp"
 #include "node/process/store_view.hpp"
 #include "node/process/traffic_meter.hpp"
+#include "node/process/view_offers.hpp"
+#include "node/process/view_send_limit.hpp"
 #include "process/runtime.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,8 +17,10 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -73,9 +77,8 @@
 private:
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> probe();
-    boost::asio::awaitable<void> fetch(peer_address from);
-    boost::asio::awaitable<void> fetch_later(peer_address from,
-                                             store_position offered);
+    boost::asio::awaitable<void> fetch_offered();
+    boost::asio::awaitable<void> fetch(view_offers::taken_offer offer);
     boost::asio::awaitable<http_response>
     serve_view(std::shared_ptr<http_request> request);
     void count_remote(const peer_address& other, traffic_purpose purpose,
@@ -86,6 +89,9 @@
     void push_to_some(store_position known);
     void note_offer(store_position offered, instant time);
     void note_advance();
+    void take_offer(const peer_datagram& datagram, instant time);
+    [[nodiscard]] bool needs_fetcher(instant now) const;
+    [[nodiscard]] bool is_dead(const peer_address& address) const;
     void log_member_changes();
     [[nodiscard]] std::vector<peer_address> unreached_seeds() const;
 
@@ -113,8 +119,15 @@
     };
     std::optional<first_offer> pending_offer;
 
-    bool fetching = false;
-    bool fetch_scheduled = false;
+    view_offers offers;
+
+    /// The hosts from which a view is being fetched, and since when.
+    std::map<peer_address, instant> fetches;
+
+    /// Number of running `fetch_offered`.
+    std::size_t fetchers = 0;
+
+    view_send_limit sends;
 
     /// Recent replica crashes to gossip, oldest first.
     std::vector<suspected_crash> suspected_crashes;
