Pack long values between hosts

A configuration of 1,400 routes has 272,092 bytes, one of 4,200 routes 756,492. Packed (zlib, fastest level) they have 24,067 and 62,450.

The host that reads the store packs a value once for each version; the others pass on the form in which they received it.

--- a/fuzz/peer_datagram.cpp
+++ b/fuzz/peer_datagram.cpp
@@ -36,7 +36,9 @@
 bool survives(const item_update& update)
 {
     const auto read = decode_update(encode_update(update));
-    return read && same(update, *read);
+    packed_values packed;
+    const auto unpacked = decode_update(encode_update(update, packed));
+    return read && same(update, *read) && unpacked && same(update, *unpacked);
 }
 
 // Returns whether a datagram names the same positions after it was sent on.
--- a/src/node/connection/peer_datagram.cpp
+++ b/src/node/connection/peer_datagram.cpp
@@ -1,6 +1,7 @@
 #include "node/connection/peer_datagram.hpp"
 
 #include "node/connection/message_pack.hpp"
+#include "node/connection/packed_text.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -42,6 +43,11 @@
 // of the era of stores that have none.
 constexpr std::size_t update_era_index = 3;
 
+// Array indices of the value of a change, which is text or packed, and of the
+// size of the text if it is packed.
+constexpr std::size_t packed_value_index = 2;
+constexpr std::size_t value_size_index = 3;
+
 // Rates are sent as whole hundredths, which takes fewer bytes than a double.
 constexpr double rate_unit = 0.01;
 
@@ -176,13 +182,22 @@
     return one;
 }
 
-json to_json(const item_update& update)
+// Packs long values if `packed` is not null.
+json to_json(const item_update& update, packed_values* packed = nullptr)
 {
+    const std::string none;
     json changes = json::array();
     for (const item_change& one : update.changes)
     {
         json change = json::array({one.key, one.revision});
-        if (one.value)
+        const std::string& short_form = packed ? packed->of(one) : none;
+        if (!short_form.empty())
+        {
+            change.push_back(json::binary(json::binary_t::container_type(
+                short_form.begin(), short_form.end())));
+            change.push_back(one.value->size());
+        }
+        else if (one.value)
         {
             change.push_back(*one.value);
         }
@@ -197,25 +212,48 @@
     return encoded;
 }
 
-item_update to_update(const json& from)
+// Unpacks the value of a change. Returns false when it is not valid.
+bool unpack_value(const json& from, item_change& change, packed_values* packed)
+{
+    const auto& bytes = from.at(packed_value_index).get_binary();
+    std::string text(bytes.begin(), bytes.end());
+    change.value =
+        unpack_text(text, from.at(value_size_index).get<std::size_t>());
+    if (change.value && packed)
+    {
+        packed->keep(change, std::move(text));
+    }
+    return change.value.has_value();
+}
+
+// Returns null when a packed value is not valid.
+std::optional<item_update> to_update(const json& from,
+                                     packed_values* packed = nullptr)
 {
     item_update update;
     update.after = from.at(0).get<store_revision>();
     update.revision = from.at(1).get<store_revision>();
+    if (from.size() > update_era_index)
+    {
+        update.era = store_era(from.at(update_era_index).get<std::uint64_t>());
+    }
     for (const json& one : from.at(2))
     {
         item_change change{one.at(0).get<std::string>(), std::nullopt,
-                           one.at(1).get<store_revision>()};
-        if (one.size() > 2)
+                           one.at(1).get<store_revision>(), update.era};
+        if (one.size() > value_size_index)
+        {
+            if (!unpack_value(one, change, packed))
+            {
+                return std::nullopt;
+            }
+        }
+        else if (one.size() > packed_value_index)
         {
-            change.value = one.at(2).get<std::string>();
+            change.value = one.at(packed_value_index).get<std::string>();
         }
         update.changes.push_back(std::move(change));
     }
-    if (from.size() > update_era_index)
-    {
-        update.era = store_era(from.at(update_era_index).get<std::uint64_t>());
-    }
     return update;
 }
 
@@ -320,6 +358,10 @@
             if (message.size() > update_index)
             {
                 datagram.update = to_update(message.at(update_index));
+                if (!datagram.update)
+                {
+                    return std::nullopt;
+                }
             }
             if (message.size() > limits_index)
             {
@@ -359,10 +401,22 @@
     return encode_message(to_json(update));
 }
 
+std::string encode_update(const item_update& update, packed_values& packed)
+{
+    return encode_message(to_json(update, &packed));
+}
+
 std::optional<item_update> decode_update(std::string_view bytes)
 {
     return decode_as<item_update>(bytes, [](const json& message)
                                   { return to_update(message); });
 }
 
+std::optional<item_update> decode_update(std::string_view bytes,
+                                         packed_values& packed)
+{
+    return decode_as<item_update>(bytes, [&packed](const json& message)
+                                  { return to_update(message, &packed); });
+}
+
 } // namespace basilpath
--- a/src/node/connection/peer_datagram.hpp
+++ b/src/node/connection/peer_datagram.hpp
@@ -1,6 +1,7 @@
 /// The datagrams that hosts exchange to maintain membership.
 #pragma once
 
+#include "node/connection/packed_values.hpp"
 #include "node/process/crash_detector.hpp"
 #include "node/process/member.hpp"
 #include "node/process/named_limits.hpp"
@@ -65,6 +66,14 @@
 /// Encodes changes of a view as the body of a message between hosts.
 [[nodiscard]] std::string encode_update(const item_update& update);
 
+/// As above, with long values packed. Hosts of earlier releases cannot read it.
+[[nodiscard]] std::string encode_update(const item_update& update,
+                                        packed_values& packed);
+
 [[nodiscard]] std::optional<item_update> decode_update(std::string_view bytes);
 
+/// As above, and keeps the values that were packed in that form.
+[[nodiscard]] std::optional<item_update> decode_update(std::string_view bytes,
+                                                       packed_values& packed);
+
 } // namespace basilpath
--- a/src/node/process/peer_exchange.cpp
+++ b/src/node/process/peer_exchange.cpp
@@ -92,6 +92,9 @@
 constexpr std::string_view view_path = "/view?after=";
 constexpr std::string_view era_parameter = "&era=";
 
+// Hosts of earlier releases do not ask for packed values and cannot read them.
+constexpr std::string_view packed_parameter = "&packed=1";
+
 instant now()
 {
     return to_instant(std::chrono::steady_clock::now());
@@ -252,8 +255,9 @@
     node_http_client client(this->context.get_executor(),
                             http_address(from.value));
     const store_position held = this->view.view().position();
-    std::string target = fmt::format("{}{}{}{}", view_path, held.revision,
-                                     era_parameter, held.era.value);
+    std::string target =
+        fmt::format("{}{}{}{}{}", view_path, held.revision, era_parameter,
+                    held.era.value, packed_parameter);
     const instant started = now();
     this->fetches[from] = started;
     const auto response = co_await client.get(
@@ -269,7 +273,7 @@
         co_return;
     }
     const auto update =
-        response ? decode_update(response->body()) : std::nullopt;
+        response ? decode_update(response->body(), this->packed) : std::nullopt;
     const microseconds took = now() - started;
     const auto took_ms = std::chrono::duration_cast<milliseconds>(took).count();
     if (this->fetch_handler)
@@ -329,7 +333,10 @@
         }
     }
     http_response response(status::ok, 11);
-    response.body() = encode_update(this->view.view().since(after));
+    const item_update update = this->view.view().since(after);
+    response.body() = target.ends_with(packed_parameter)
+                          ? encode_update(update, this->packed)
+                          : encode_update(update);
     const auto wait = this->sends.reserve(response.body().size(), now());
     if (!wait)
     {
--- a/src/node/process/peer_exchange.hpp
+++ b/src/node/process/peer_exchange.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "node/connection/http_server.hpp"
+#include "node/connection/packed_values.hpp"
 #include "node/connection/peer_datagram.hpp"
 #include "node/process/crash_detector.hpp"
 #include "node/process/member_list.hpp"
@@ -128,6 +129,7 @@
     std::size_t fetchers = 0;
 
     view_send_limit sends;
+    packed_values packed;
 
     /// Recent replica crashes to gossip, oldest first.
     std::vector<suspected_crash> suspected_crashes;
--- a/src/node/version/item_cache.cpp
+++ b/src/node/version/item_cache.cpp
@@ -67,7 +67,8 @@
     {
         if (full || item.revision > after.revision)
         {
-            update.changes.push_back({key, item.value, item.revision});
+            update.changes.push_back(
+                {key, item.value, item.revision, this->current.era});
         }
     }
     if (!full)
@@ -75,7 +76,8 @@
         for (auto one = this->removals.lower_bound({after.revision + 1, {}});
              one != this->removals.end(); ++one)
         {
-            update.changes.push_back({one->second, std::nullopt, one->first});
+            update.changes.push_back(
+                {one->second, std::nullopt, one->first, this->current.era});
         }
     }
     return update;
--- a/test/peer_exchange_test.cpp
+++ b/test/peer_exchange_test.cpp
@@ -1,4 +1,5 @@
 /// What hosts tell each other, over sockets of the loopback address.
+#include "node/connection/http_client.hpp"
 #include "node/process/peer_exchange.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -14,7 +15,10 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <exception>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -54,9 +58,16 @@
 /// A host that exchanges datagrams with others.
 struct exchanging_host
 {
-    exchanging_host(boost::asio::io_context& context, peer_address address,
+    exchanging_host(boost::asio::io_context& context,
+                    const peer_address& address,
                     std::vector<peer_address> seeds)
-        : run(context, 1), members(describe(std::move(address)), now()),
+        : exchanging_host(context, describe(address), std::move(seeds))
+    {
+    }
+
+    exchanging_host(boost::asio::io_context& context, member own,
+                    std::vector<peer_address> seeds)
+        : run(context, 1), members(std::move(own), now()),
           peers(context, this->run, this->members, this->view, this->crashes,
                 this->limits, this->traffic, std::move(seeds))
     {
@@ -238,4 +249,62 @@
     CHECK(peer.requests == 1);
 }
 
+/// Requests a view as a host does.
+std::optional<http_response> request_view(boost::asio::io_context& context,
+                                          const peer_address& from,
+                                          std::string target)
+{
+    node_http_client client(context.get_executor(), http_address(from.value));
+    std::optional<std::optional<http_response>> result;
+    boost::asio::co_spawn(
+        context, client.get(std::move(target), 10s),
+        [&result](const std::exception_ptr&, std::optional<http_response> read)
+        { result = std::move(read); });
+    for (int i = 0; i < 5000 && !result; ++i)
+    {
+        context.run_for(2ms);
+    }
+    REQUIRE(result);
+    return *result;
+}
+
+// Guards against hosts of an earlier release that cannot read any view.
+TEST_CASE("long values are packed only for hosts that ask for it")
+{
+    boost::asio::io_context context;
+    const peer_address address = free_address();
+    exchanging_host host(context, address, {});
+    const std::string value(100'000, 'v');
+    host.view.apply({0, 300, {{"a", value, 290}}, store_era{}}, now());
+    const auto plain = request_view(context, address, "/view?after=0&era=0");
+    REQUIRE(plain);
+    CHECK(plain->body().find(value) != std::string::npos);
+    const auto packed =
+        request_view(context, address, "/view?after=0&era=0&packed=1");
+    REQUIRE(packed);
+    CHECK(packed->body().size() < value.size() / 10);
+    const auto update = decode_update(packed->body());
+    REQUIRE(update);
+    CHECK(update->changes[0].value == value);
+}
+
+// Guards against transfers that all end late because they share one link.
+TEST_CASE("a host that has much to send asks others to fetch elsewhere")
+{
+    boost::asio::io_context context;
+    const peer_address address = free_address();
+    member own = exchanging_host::describe(address);
+    own.link_mbps = 1;
+    exchanging_host host(context, std::move(own), {});
+    host.view.apply(
+        {0, 300, {{"a", std::string(200'000, 'v'), 290}}, store_era{}}, now());
+    const std::string target = "/view?after=0&era=0";
+    const auto first = request_view(context, address, target);
+    REQUIRE(first);
+    CHECK(first->result_int() == 200);
+    const auto second = request_view(context, address, target);
+    REQUIRE(second);
+    CHECK(second->result_int() == 503);
+}
+
 } // namespace
