--- a/test/peer_exchange_test.cpp
+++ b/test/peer_exchange_test.cpp
@@ -297,7 +297,8 @@
     own.link_mbps = 1;
     exchanging_host host(context, std::move(own), {});
     host.view.apply(
-        {0, 300, {{"a", std::string(200'000, 'v'), 290}}, store_era{}}, now());
+        {0, 300, {{"a", std::string(2'000'000, 'v'), 290}}, store_era{}},
+        now());
     const std::string target = "/view?after=0&era=0";
     const auto first = request_view(context, address, target);
     REQUIRE(first);
